--- /dev/null
+++ b/heathford/choice.py
@@ -0,0 +1,555 @@
+"""Every decision of heathford: where a completion is read and written, and what is done when that fails.
+
+A carrier makes one Router an instance, tells it the list of engines (list_begins, list_row, list_ends), gives
+it completions (take returns the handle that all later events are calls on) and calls decide after each batch
+of these. The types, and what it calls in turn, stand in heathford/interface.py; reasons in docs/design.md.
+
+The design: two fitted read times and their balanced cut choose a reader or a mixed server; gates; hashed
+readers; near writers chosen after the read. Beside it stand six mechanisms:
+1. trickle: an engine set aside, or just started, gets one dispatch, then twice as many while it goes well
+2. turns: fronts take turns at a cold engine by their own number, each within a budget of sends
+3. overdue: an engine with an old dispatch and no answer since is passed over until it answers
+4. room: memory, slots and refusals seen tell which writers can take one more now
+5. further dispatches: what may be sent again, rate-limited or only aborted, and letting go of what is held
+6. shares: a member beyond its share waits behind the others
+"""
+
+import random
+from collections import deque
+from collections.abc import Callable, Mapping, Sequence
+from hashlib import blake2b
+
+from heathford.interface import (
+    NEVER_RAN, Clock, CompletionDoor, Effect, Group, Health, InstanceDoor, Kind, Member, Role, Verdict,
+    Workload,
+)
+
+# The design page's own starting values.
+CANDIDATES = 512  # cuts tried
+HALF = 0.5  # of the prompt: a balanced cut from here on sends the read to a reader
+START_TOKENS = 2000  # new tokens: beyond this a reader reads until both fits are known
+START_ANSWERS = 20  # answers on each side before the fits are used
+GATE = 2  # our reads out at one reader
+MEDIANS = 2.0  # times our median tokens that a session's last mixed server may hold
+
+# Fits.
+FADE = 0.98  # weight kept per answer: about fifty answers count, seconds of traffic
+OUTLIER = 4.0  # times the predicted time that an answer may count for; one stall must not bend a fit
+FLOOR = 0.02  # s: no answer counts as an outlier below about a step of an engine
+SWEEPS = 20  # per answer: each starts from the last solution, which moves little
+
+# Room.
+MEMORY_USED = 0.92  # share of memory up to which a writer has free blocks; the rest is for answers that grow
+SLOTS_USED = 0.97  # reported share of slots in use from which a new answer would queue
+REPORT_LIFE = 1.5  # s that a load report counts: several report periods
+FULL_REST = 0.25  # s without room after a writer was full: a few answers end in that time
+STATES = 8  # our states that may wait at one reader before its gate closes: some 30,000 tokens of its memory
+
+# Health.
+ASIDE = 0.5  # s set aside after the first failure: shorter than the shortest latency target seen as usual
+ASIDE_MOST = 4.0  # s: a dead engine costs one dispatch in this time
+ERRORS = 2  # errors or time-outs in a row before an engine is set aside; one alone is chance
+TRICKLE_DONE = 16  # dispatches at once from which a trickle is over
+PATIENCE = 1.0  # s without an answer, on top of the usual time, before a dispatch is overdue
+USUAL = 3.0  # times the usual latency that an answer may take before it is overdue
+
+# Waiting and letting go.
+TICK = 0.02  # s between two looks at what waits: small beside any latency target
+HOLD = 0.4  # share of the pin limit for which a state waits for a writer with room
+READ_SHARE = 0.5  # share of the time left that a read may take: leaves one more try
+WRITE_SHARE = 0.6  # share of the time left that an answer may take to begin, if it may be sent again
+LAST_CALL = 0.15  # s before the client timeout at which what waits is given up: a short read's time
+RETRY_AFTER = 0.5  # s that a rate-limited client should stay away: about what a full engine takes to clear
+KEPT_MOST = 4096  # texts remembered per engine and sessions per instance: bounds memory
+QUOTA_BURST = 2.0  # s of its share that a member may send at once
+
+
+class Fit:
+    """Least squares, older answers fading; no slope is negative, so more work never looks faster."""
+
+    def __init__(self, width: int) -> None:
+        self.answers = 0
+        self.square = [[0.0] * width for _ in range(width)]
+        self.moment = [0.0] * width
+        self.slopes = [0.0] * width
+
+    def add(self, features: Sequence[float], seconds: float) -> None:
+        if self.answers >= START_ANSWERS:
+            seconds = min(seconds, OUTLIER * max(self.time(features), FLOOR))
+        self.answers += 1
+        for i, x in enumerate(features):
+            self.moment[i] = self.moment[i] * FADE + x * seconds
+            for j, y in enumerate(features):
+                self.square[i][j] = self.square[i][j] * FADE + x * y
+        for _ in range(SWEEPS):  # coordinate descent from the last solution
+            for i, row in enumerate(self.square):
+                rest = self.moment[i] - self.time(row) + row[i] * self.slopes[i]
+                self.slopes[i] = max(0.0, rest / max(row[i], 1e-9))
+
+    def time(self, features: Sequence[float]) -> float:
+        return sum(slope * x for slope, x in zip(self.slopes, features, strict=True))
+
+
+def read_features(tokens: float) -> tuple[float, float]:
+    return 1.0, tokens / 1000
+
+
+def mixed_features(tokens: float, contexts: float) -> tuple[float, float, float]:
+    return 1.0, tokens / 1000, tokens / 1000 * (tokens / 2 + contexts) / 1000
+
+
+class Engine:
+    """One engine of the list, as this front sees it."""
+
+    def __init__(self, number: int, zone: int, cell: int, kind: Kind, size: float, started: float) -> None:
+        self.number, self.zone, self.cell, self.kind, self.size = number, zone, cell, kind, size
+        self.health = Health.ON
+        self.begin(started)
+
+    def begin(self, started: float) -> None:
+        """A process that has started knows nothing of what its predecessor kept or did."""
+        self.started = started
+        self.out: list[Dispatch] = []
+        self.states = 0  # read for us here and not yet fetched
+        self.keeps: dict[str, int] = {}
+        self.sent_at: deque[float] = deque()
+        self.load: Mapping[str, float] = {}
+        self.load_at = self.answered = self.full_at = -1e9
+        self.usual = 0.0  # s to an answer, lately
+        self.failures = 0
+        self.aside_until = 0.0
+        self.trickle = self.wins = 0
+
+    @property
+    def tokens(self) -> float:
+        return sum(d.tokens for d in self.out)
+
+    def kept(self, completion: "Completion") -> int:
+        """Tokens of the prompt that we believe it holds in cache."""
+        shared = completion.shared_tokens if completion.shared in self.keeps else 0
+        return min(max(shared, self.keeps.get(completion.session, 0)), completion.prompt)
+
+    def keep(self, completion: "Completion") -> None:
+        c = completion
+        for key, tokens in ((c.shared, c.shared_tokens), (c.session, c.prompt)):
+            if key:
+                self.keeps.pop(key, None)
+                self.keeps[key] = tokens
+        while len(self.keeps) > KEPT_MOST:
+            del self.keeps[next(iter(self.keeps))]
+
+    def contexts(self, now: float) -> float:
+        """The reported memory share where there is one, else our own streams."""
+        if "memory" in self.load and now - self.load_at < REPORT_LIFE:
+            return self.load["memory"] * self.kind.memory
+        return sum(d.tokens for d in self.out if d.streaming)
+
+    def has_room(self, tokens: float, now: float, fronts: int) -> bool:
+        """Guards against queues at writers that nobody reports: memory, slots and refusals each close it."""
+        if now - self.full_at < FULL_REST:
+            return False
+        if now - self.load_at < REPORT_LIFE and self.load:
+            if self.load.get("queue", 0.0) >= 1.0 or self.load.get("slots", 0.0) >= SLOTS_USED:
+                return False
+            if "memory" in self.load:
+                since = sum(d.tokens for d in self.out if d.sent > self.load_at)
+                return since + tokens < (MEMORY_USED - self.load["memory"]) * self.kind.memory
+        return self.tokens * fronts + tokens < MEMORY_USED * self.kind.memory
+
+    def overdue(self, now: float) -> bool:
+        """Guards against engines that take work and say nothing, whatever the reason: it acts long before a
+        time-out. Could harm where one answer alone takes far longer than usual and nothing else is out."""
+        waiting = [d.sent for d in self.out if not d.streaming]
+        return bool(waiting) and min(waiting) > self.answered and (
+            now - min(waiting) > PATIENCE + USUAL * self.usual)
+
+    def went_well(self, latency: float, now: float) -> None:
+        self.answered, self.failures = now, 0
+        self.usual += 0.1 * (latency - self.usual)
+        if self.trickle:
+            self.wins += 1
+            if self.wins >= self.trickle:
+                self.trickle, self.wins = self.trickle * 2, 0
+            if self.trickle >= TRICKLE_DONE:
+                self.trickle = 0
+
+    def went_badly(self, at_once: bool, now: float) -> None:
+        """Guards against engines that fail, above all fast ones whose empty queue would draw more work."""
+        self.failures += 1
+        if at_once or self.failures >= ERRORS or self.trickle:
+            self.aside_until = now + min(ASIDE * 2 ** max(0, self.failures - 1), ASIDE_MOST)
+            self.trickle, self.wins = 1, 0
+
+
+class Dispatch:
+    def __init__(
+        self, engine: Engine, seq: int, reading: bool, local: bool, tokens: float, contexts: float, now: float
+    ) -> None:
+        self.engine, self.seq, self.tokens, self.contexts = engine, seq, tokens, contexts
+        self.reading, self.local = reading, local  # local: reads and streams at one mixed server
+        self.sent = now
+        self.streaming = False
+        self.ttft = 0.0
+        self.verdict: Verdict | None = None
+
+
+class Completion:
+    """The handle of one completion taken."""
+
+    def __init__(
+        self, router: "Router", door: CompletionDoor, workload: Workload, session: str, shared: str,
+        prompt: int, shared_tokens: int, answer: float, due: float, spare: bool, now: float,
+    ) -> None:
+        self.router, self.door, self.workload = router, door, workload
+        self.session, self.shared, self.prompt, self.shared_tokens = session, shared, prompt, shared_tokens
+        self.answer, self.due, self.spare, self.taken = answer, due, spare, now
+        self.dispatches: list[Dispatch] = []
+        self.out: Dispatch | None = None
+        self.state: Engine | None = None  # the reader where its state waits
+        self.held_since = 0.0
+        self.over = False
+
+    @property
+    def settled(self) -> bool:
+        return self.over and self.out is None
+
+    def first_token(self, seq: int, latency: float) -> None:
+        dispatch = self.dispatches[seq]
+        dispatch.streaming, dispatch.ttft = True, latency
+        self.over = True
+        self.fetched()
+        dispatch.engine.went_well(latency, self.router.clock.now)
+
+    def ended(
+        self, seq: int, verdict: Verdict, latency: float, closed: bool, detail: int, load: Mapping[str, float]
+    ) -> None:
+        now, dispatch = self.router.clock.now, self.dispatches[seq]
+        engine = dispatch.engine
+        dispatch.verdict = verdict
+        if dispatch in engine.out:
+            engine.out.remove(dispatch)
+        if load:
+            engine.load, engine.load_at = load, now
+        self.over = self.over or closed
+        if self.out is dispatch:
+            self.out = None
+        self.held_since = now
+        if verdict is Verdict.READ:
+            engine.went_well(latency, now)
+            self.router.learn_read(self, engine, latency, detail)
+            self.state = engine
+            engine.states += 1
+        elif verdict is Verdict.FINISHED:
+            if dispatch.local:
+                self.router.learn_mixed(self, dispatch, detail)
+        elif verdict is Verdict.FULL and detail:
+            self.let_go()  # gone, or out of the writer's reach and still pinned: read again
+        elif verdict is Verdict.FULL:
+            engine.full_at = now
+        elif verdict not in (Verdict.UNSENT, Verdict.CANCELLED) and not dispatch.streaming:
+            engine.went_badly(verdict in (Verdict.UNREACHABLE, Verdict.BROKEN), now)
+        if self.over:
+            self.let_go()
+        elif self.out is None:
+            self.router.waiting.append(self)
+
+    def left(self) -> None:
+        self.over = True
+        if self.out is None:
+            self.let_go()
+        elif self.router.may_cancel and not self.out.streaming:
+            self.door.cancel(self.out.seq)
+
+    def fetched(self) -> None:
+        if self.state:
+            self.state.states = max(0, self.state.states - 1)
+            self.state = None
+
+    def let_go(self) -> None:
+        """Nothing stays pinned: neither an answer nor a client's leaving frees a state by itself."""
+        if self.state:
+            self.door.release()
+            self.fetched()
+
+    def risky(self) -> list[Dispatch]:
+        """Dispatches that may have had an effect."""
+        return [d for d in self.dispatches if not d.reading and d.verdict not in NEVER_RAN]
+
+    def may_go_to(self, engine: Engine, now: float) -> bool:
+        """No effect twice."""
+        risky = self.risky()
+        if not risky or engine.kind.role is Role.READER or self.workload.effect is Effect.IDEMPOTENT:
+            return True
+        if self.workload.effect is Effect.NON_IDEMPOTENT:
+            return False
+        group = self.workload.group
+        return now - risky[0].sent < self.workload.memory_time and all(
+            group is Group.ALL or d.engine.cell == engine.cell
+            or (group is Group.ZONE and d.engine.zone == engine.zone) for d in risky)
+
+    def give_up(self) -> None:
+        self.let_go()
+        self.over = True
+        effect = self.workload.effect
+        harmless = effect is Effect.TOKENED and self.workload.group is Group.ALL
+        if not self.risky() or effect is Effect.IDEMPOTENT or harmless:
+            self.door.rate_limit(self.router.retry_after)
+        else:
+            self.door.abort()
+
+
+class Router:
+    """One instance: one front's view and decisions."""
+
+    def __init__(
+        self, clock: Clock, door: InstanceDoor, seed: int, kinds: Sequence[Kind],
+        workloads: Sequence[Workload], members: Sequence[Member], number: int, fronts: int, zone: int,
+        try_limit: int, pin_limit: float, may_cancel: bool, may_delay_retries: bool, longest_retry: float,
+        warm_after: float, cold_from: float, cold_multiple: float, cold_window: float, subscribe: bool,
+    ) -> None:
+        self.clock, self.door = clock, door
+        self.kinds, self.workloads, self.members = kinds, workloads, members
+        self.random = random.Random(seed)
+        self.number, self.fronts, self.zone = number, max(1, fronts), zone
+        self.try_limit, self.pin_limit, self.may_cancel = try_limit, pin_limit, may_cancel
+        self.retry_after = min(RETRY_AFTER, longest_retry) if may_delay_retries else 0.0
+        self.warm_after, self.cold_window = warm_after, cold_window
+        self.cold_share = cold_from * cold_multiple / 2  # of a warm one's sends; half the rule's
+        self.engines: dict[int, Engine] = {}
+        self.listed: dict[int, None] = {}
+        self.read_fit, self.mixed_fit = Fit(2), Fit(3)
+        self.last_mixed: dict[str, Engine] = {}
+        self.waiting: list[Completion] = []
+        self.asleep = True
+        self.quotas = [m.per_second * QUOTA_BURST / self.fronts for m in members]
+        self.quota_at = clock.now
+        if subscribe:
+            door.subscribe()
+
+    # The list of engines.
+
+    def list_begins(self, complete: bool) -> None:
+        self.listed = {} if complete else dict.fromkeys(self.engines)
+
+    def list_row(
+        self, number: int, zone: int, kind: int, cell: int, health: Health, size: float, started: float
+    ) -> None:
+        self.listed[number] = None
+        engine = self.engines.get(number)
+        if engine is None:
+            engine = self.engines[number] = Engine(number, zone, cell, self.kinds[kind], size, started)
+        elif engine.started != started:
+            engine.begin(started)
+        engine.health = health
+        if self.cold(engine) and not engine.trickle:
+            engine.trickle = 1
+
+    def list_ends(self) -> None:
+        for number, engine in list(self.engines.items()):
+            if number not in self.listed:
+                engine.health = Health.GONE
+            if engine.health is Health.GONE and not engine.out:
+                del self.engines[number]
+
+    def list_failed(self) -> None:
+        self.door.subscribe()
+
+    # Completions.
+
+    def take(
+        self, door: CompletionDoor, workload: int, member: int, session: str, shared: str, prompt: int,
+        shared_tokens: int, longest: int, answer_hint: float, due: float,
+    ) -> Completion:
+        kind = self.workloads[workload]
+        answer = min(longest, answer_hint / kind.token_target if answer_hint else longest / 2)
+        spare = self.beyond_share(member)
+        completion = Completion(
+            self, door, kind, session, shared, prompt, shared_tokens, answer, due, spare, self.clock.now)
+        self.waiting.append(completion)
+        return completion
+
+    def beyond_share(self, member: int) -> bool:
+        if member >= len(self.members):
+            return False
+        passed, self.quota_at = self.clock.now - self.quota_at, self.clock.now
+        for i, m in enumerate(self.members):
+            share = m.per_second / self.fronts
+            self.quotas[i] = min(share * QUOTA_BURST, self.quotas[i] + share * passed)
+        self.quotas[member] -= 1.0
+        if self.quotas[member] < 0.0:
+            self.quotas[member] += 1.0
+            return True
+        return False
+
+    def woken(self) -> None:
+        self.asleep = True
+
+    def decide(self) -> None:
+        """The next step of every completion with no dispatch out; what can't be placed now waits."""
+        queue = sorted(self.waiting, key=lambda c: (c.state is None, c.spare, c.taken))
+        self.waiting, shut = [], False
+        for completion in queue:
+            if completion.over or self.given_up(completion):
+                continue
+            if shut and not completion.state:  # no reader and no mixed server took the one before
+                self.waiting.append(completion)
+            elif not self.placed(completion):
+                self.waiting.append(completion)
+                shut = shut or not completion.risky()
+        if self.waiting and self.asleep:
+            self.asleep = False
+            self.door.wake(TICK)
+
+    def given_up(self, completion: Completion) -> bool:
+        spoilt = completion.risky() and completion.workload.effect is Effect.NON_IDEMPOTENT
+        tries = self.try_limit - len(completion.dispatches)
+        if spoilt or tries <= 0 or self.clock.now >= completion.due - LAST_CALL:
+            completion.give_up()
+            return True
+        return False
+
+    def placed(self, completion: Completion) -> bool:
+        now, tries = self.clock.now, self.try_limit - len(completion.dispatches)
+        if completion.state:
+            return self.write(completion, now)
+        need = completion.prompt + completion.answer
+        mixed = self.pick_mixed(completion)
+        local = mixed is not None and mixed.has_room(need, now, self.fronts)
+        reader = self.pick_reader(completion) if tries > 1 else None
+        if mixed and local and not (reader and self.reader_reads(completion, reader, mixed)):
+            self.send(completion, mixed, False, completion.due - now)
+            return True
+        if reader:
+            self.send(completion, reader, True, READ_SHARE * (completion.due - now))
+            return True
+        return False
+
+    def reader_reads(self, completion: Completion, reader: Engine, mixed: Engine) -> bool:
+        """The design: the balanced cut over the candidates; from half on, a reader reads it all."""
+        at_mixed = completion.prompt - mixed.kept(completion)
+        at_reader = completion.prompt - reader.kept(completion)
+        if min(self.read_fit.answers, self.mixed_fit.answers) < START_ANSWERS:
+            return at_mixed > START_TOKENS
+        contexts = mixed.contexts(self.clock.now)
+
+        def lead(cut: int) -> float:
+            part = cut / CANDIDATES
+            return self.read_fit.time(read_features(part * at_reader)) - self.mixed_fit.time(
+                mixed_features((1 - part) * at_mixed, contexts))
+
+        low, high = 0, CANDIDATES  # one time grows with the cut, the other falls: halve
+        while high - low > 1:
+            middle = (low + high) // 2
+            low, high = (middle, high) if lead(middle) < 0 else (low, middle)
+        cut = low if abs(lead(low)) <= abs(lead(high)) else high
+        return cut >= HALF * CANDIDATES
+
+    def pick_reader(self, completion: Completion) -> Engine | None:
+        open_ones = [e for e in self.usable(Role.READER) if len(e.out) < GATE and e.states < STATES]
+        return self.hashed_pair(completion, open_ones)
+
+    def pick_mixed(self, completion: Completion) -> Engine | None:
+        now = self.clock.now
+        able = [e for e in self.usable(Role.MIXED) if completion.may_go_to(e, now)]
+        last = self.last_mixed.get(completion.session)
+        if last in able:
+            held = sorted(e.tokens for e in able)
+            if last.tokens <= MEDIANS * held[len(held) // 2]:
+                return last
+        return self.hashed_pair(completion, able)
+
+    def hashed_pair(self, completion: Completion, engines: Sequence[Engine]) -> Engine | None:
+        """Two drawn by hashing the shared beginning, else the session; the one with fewer of our tokens."""
+        if not engines:
+            return None
+        key = completion.shared or completion.session
+        pair = [max((blake2b(f"{seed}:{key}:{e.number}".encode()).digest(), e.number, e) for e in engines)[2]
+                for seed in (1, 2)]
+        return min(pair, key=lambda e: e.tokens)
+
+    def write(self, completion: Completion, now: float) -> bool:
+        """After the read: two from the reader's cell where it has room, else its zone, else anywhere."""
+        reader = completion.state
+        assert reader is not None
+        able = [e for e in self.usable(Role.WRITER, Role.MIXED) if completion.may_go_to(e, now)]
+        need = completion.prompt + completion.answer
+        roomy = [e for e in able if e.has_room(need, now, self.fronts)]
+        waited = now - completion.held_since >= HOLD * self.pin_limit
+        near: tuple[Callable[[Engine], bool], ...] = (
+            lambda e: e.cell == reader.cell, lambda e: e.zone == reader.zone, lambda e: True)
+        for pool in (roomy, able) if waited else (roomy,):
+            for test in near:
+                close = [e for e in pool if test(e)]
+                if close:
+                    pair = self.random.sample(close, 2) if len(close) > 2 else close
+                    target = min(pair, key=lambda e: e.tokens / max(e.size, 1e-3))
+                    again = completion.workload.effect is not Effect.NON_IDEMPOTENT
+                    left = completion.due - now
+                    self.send(completion, target, False, WRITE_SHARE * left if again else left)
+                    return True
+        if waited:  # a state may not be held on: it is read anew once a writer can be had
+            completion.let_go()
+        return False
+
+    # Engines.
+
+    def cold(self, engine: Engine) -> bool:
+        return engine.started > 0 and self.clock.now - engine.started < self.warm_after
+
+    def usable(self, *roles: Role) -> list[Engine]:
+        now = self.clock.now
+        return [
+            e for e in self.engines.values()
+            if e.kind.role in roles and e.health is Health.ON and now >= e.aside_until
+            and not (e.trickle and len(e.out) >= e.trickle) and not e.overdue(now)
+            and (not self.cold(e) or self.has_turn(e))]
+
+    def has_turn(self, engine: Engine) -> bool:
+        """Guards against all fronts finding an empty, slow engine at once: in turns of the rule's own window,
+        and at most a part of what warm engines of its role get from us in such a window."""
+        now = self.clock.now
+        if int((now - engine.started) / self.cold_window) % self.fronts != self.number % self.fronts:
+            return False
+        peers = [e for e in self.engines.values() if e.kind.role is engine.kind.role and not self.cold(e)]
+        usual = sum(self.recent(e) for e in peers) / max(1, len(peers))
+        return self.recent(engine) < max(1.0, self.cold_share * usual)
+
+    def recent(self, engine: Engine) -> int:
+        while engine.sent_at and engine.sent_at[0] < self.clock.now - self.cold_window:
+            engine.sent_at.popleft()
+        return len(engine.sent_at)
+
+    def send(self, completion: Completion, engine: Engine, reading: bool, timeout: float) -> None:
+        now = self.clock.now
+        local = not reading and completion.state is None
+        new = completion.prompt - engine.kept(completion)
+        dispatch = Dispatch(
+            engine, len(completion.dispatches), reading, local, new if reading else completion.prompt,
+            engine.contexts(now), now)
+        if local:
+            engine.keep(completion)
+            self.last_mixed.pop(completion.session, None)
+            self.last_mixed[completion.session] = engine
+            while len(self.last_mixed) > KEPT_MOST:
+                del self.last_mixed[next(iter(self.last_mixed))]
+        completion.dispatches.append(dispatch)
+        completion.out = dispatch
+        engine.out.append(dispatch)
+        engine.sent_at.append(now)
+        completion.door.send(engine.number, timeout)
+
+    # Learning.
+
+    def learn_read(self, completion: Completion, engine: Engine, latency: float, kept: int) -> None:
+        self.forget_if_lost(completion, engine, kept)
+        self.read_fit.add(read_features(completion.prompt - kept), latency)
+        engine.keep(completion)
+
+    def learn_mixed(self, completion: Completion, dispatch: Dispatch, kept: int) -> None:
+        self.mixed_fit.add(mixed_features(completion.prompt - kept, dispatch.contexts), dispatch.ttft)
+
+    def forget_if_lost(self, completion: Completion, engine: Engine, kept: int) -> None:
+        """Guards against an engine that lost all it kept at once: what we believe of it goes too."""
+        if kept == 0 and engine.kept(completion) > 0:
+            engine.keeps.clear()
+
--- /dev/null
+++ b/heathford/drill/wire.py
@@ -0,0 +1,192 @@
+"""Instances on the wire: one Front each, with nothing shared but the batch clock and the declared lists."""
+
+import sys
+import traceback
+from collections.abc import Callable
+from typing import Any
+
+from heathford.choice import Router
+from heathford.interface import Effect, Group, Handle, Health, Kind, Member, Role, Verdict, Workload
+
+NS = 1_000_000_000
+
+EFFECTS = {"free": Effect.IDEMPOTENT, "guarded": Effect.TOKENED, "single_shot": Effect.NON_IDEMPOTENT}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+ROLES = {"read": Role.READER, "write": Role.WRITER, "both": Role.MIXED}
+HEALTHS = {"on": Health.ON, "fading": Health.DRAINING, "off": Health.GONE}
+VERDICTS = {
+    "delivered": Verdict.FINISHED, "app_error": Verdict.ERROR, "shed": Verdict.FULL,
+    "expired": Verdict.TIMED_OUT, "dial_failed": Verdict.UNREACHABLE, "dropped": Verdict.BROKEN,
+    "revoked": Verdict.CANCELLED, "unused": Verdict.UNSENT, "READ": Verdict.READ,
+}
+LOADS = {"cpu": "slots", "waiting": "queue", "active": "held", "x0": "memory"}
+
+
+def nanoseconds(seconds: float) -> int:
+    return max(0, round(seconds * NS))
+
+
+class BatchClock:
+    now = 0.0
+
+
+class WireCompletion:
+    """Encodes what is done for one completion."""
+
+    def __init__(self, act: Callable[[str, dict[str, Any]], None], completion: str) -> None:
+        self.act, self.completion = act, completion
+
+    def send(self, engine: int, timeout: float) -> None:
+        self.act("relay", {"id": self.completion, "engine": engine, "tryForNs": max(1, nanoseconds(timeout))})
+
+    def cancel(self, seq: int) -> None:
+        self.act("undoSend", {"id": self.completion, "seqNo": seq})
+
+    def rate_limit(self, retry_after: float) -> None:
+        self.act("shed", {"id": self.completion, "coolDownNs": nanoseconds(retry_after)})
+
+    def abort(self) -> None:
+        self.act("finishError", {"id": self.completion})
+
+    def release(self) -> None:
+        self.act("release", {"id": self.completion})
+
+
+class Front:
+    """One instance: its router, and the handles of what it holds by their ids on the wire."""
+
+    def __init__(
+        self, who: int, clock: BatchClock, output: list[dict[str, Any]], event: dict[str, Any]
+    ) -> None:
+        self.who, self.output = who, output
+        self.handles: dict[str, Handle] = {}
+        info = event["bootInfo"]
+        family, limits, safety = info["familyInfo"], info["policyLimits"], info["safety"]
+        stretch = family.get("aimUsPer1000PromptTokens") or [0.0] * len(info["categories"])
+        self.router = Router(
+            clock, self, seed=event["rngSeed"],
+            kinds=[Kind(ROLES[role], memory) for role, memory in
+                   zip(family["roleByKind"], family["memoryTokens"], strict=True)],
+            workloads=[
+                Workload(
+                    latency_target=c["objectiveNs"] / NS, target_per_1000=more / 1e6, token_target=token / NS,
+                    effect=EFFECTS[c["idempotency"]], group=GROUPS[c.get("group") or "all"],
+                    memory_time=c.get("keyTtlNs", 0) / NS, value=c.get("worth", 1.0))
+                for c, more, token in
+                zip(info["categories"], stretch, family["tokenAimNs"], strict=True)],
+            members=[Member(t["quotaPerS"]) for t in info.get("tenants") or []],
+            number=info.get("myNumber", 0), fronts=info.get("nInstances", 1), zone=info.get("zone", 0),
+            try_limit=limits["tryLimit"], pin_limit=family["pinLimitNs"] / NS,
+            may_cancel=limits.get("cancel", False), may_delay_retries=limits.get("retryAfter", False),
+            longest_retry=limits.get("maxRetryAfterNs", 0) / NS, warm_after=safety["warmAfterNs"] / NS,
+            cold_from=safety["coldFrom"], cold_multiple=safety["tipMultiple"],
+            cold_window=safety["fallNs"] / NS, subscribe=info.get("registryMode") == "subscribe")
+
+    def act(self, name: str, fields: dict[str, Any]) -> None:
+        self.output.append({name: {"who": self.who, **fields}})
+
+    def wake(self, after: float) -> None:
+        self.act("setAlarm", {"sleepForNs": nanoseconds(after), "keyBack": 0})
+
+    def subscribe(self) -> None:
+        self.act("streamChanges", {"on": True})
+
+    def trace(self, text: str) -> None:
+        self.act("trace", {"text": text})
+
+    def fleet(self, event: dict[str, Any], rows: list[dict[str, Any]]) -> None:
+        if event["scope"] == "unavailable":
+            self.router.list_failed()
+            return
+        self.router.list_begins(complete=event["scope"] != "update")
+        for row in rows:
+            self.router.list_row(
+                row["engine"], row.get("rackZone", 0), row.get("model", 0), row.get("bay", 0),
+                HEALTHS[row["health"]], row.get("nominal", 1.0), row.get("bootTimeNs", 0) / NS)
+        self.router.list_ends()
+
+    def job_in(self, event: dict[str, Any]) -> None:
+        key = event["id"]
+        handle = self.router.take(
+            WireCompletion(self.act, key), event.get("type", 0), event.get("userGroup", 0),
+            event.get("conversation", ""), event.get("sharedPrefix", ""), event.get("nPrompt", 0),
+            event.get("sharedLen", 0), event.get("maxOut", 0), event.get("workHintNs", 0) / NS,
+            event["dueNs"] / NS)
+        self.handles[key] = handle
+
+    def on_handle(self, name: str, event: dict[str, Any]) -> None:
+        handle = self.handles.get(event["id"])
+        if handle is None:  # late news of something over
+            return
+        if name == "ackFirst":
+            handle.first_token(event.get("seqNo", 0), event.get("latencyNs", 0) / NS)
+        elif name == "attemptEnd":
+            load = {LOADS[k]: v for k, v in (event.get("healthInfo") or {}).items() if k in LOADS}
+            handle.ended(
+                event.get("seqNo", 0), VERDICTS[event["verdict"]], event.get("latencyNs", 0) / NS,
+                event.get("closed", False), event.get("detail", 0), load)
+        else:
+            handle.left()
+
+    def decide(self) -> None:
+        self.router.decide()
+        for key in [k for k, handle in self.handles.items() if handle.settled]:
+            del self.handles[key]
+
+
+class Host:
+    """All instances of this process."""
+
+    def __init__(self) -> None:
+        self.clock = BatchClock()
+        self.fronts: dict[int, Front] = {}
+        self.lists: dict[int, list[dict[str, Any]]] = {}
+        self.output: list[dict[str, Any]] = []
+
+    def play(self, clock_ns: int, events: list[dict[str, dict[str, Any]]]) -> list[dict[str, Any]]:
+        self.clock.now = clock_ns / NS
+        self.output.clear()
+        touched: dict[int, None] = {}
+        for message in events:
+            for name, event in message.items():
+                self.event(name, event)
+                if "who" in event:
+                    touched[event["who"]] = None
+        for who in touched:
+            if who in self.fronts:
+                self.guarded(who, "decide", self.fronts[who].decide)
+        return self.output
+
+    def event(self, name: str, event: dict[str, Any]) -> None:
+        if name == "defineList":
+            self.lists[event["list"]] = event["rows"]
+            return
+        who = event["who"]
+        if name == "configure":
+            self.guarded(who, name, lambda: self.start(who, event))
+            return
+        front = self.fronts.get(who)
+        if front is None:
+            print(f"heathford.drill: {name} for unknown instance {who}", file=sys.stderr)
+        elif name == "stop":
+            del self.fronts[who]
+        elif name == "fleet":
+            rows = self.lists.get(event.get("list", -1), [])
+            self.guarded(who, name, lambda: front.fleet(event, rows))
+        elif name == "jobIn":
+            self.guarded(who, name, lambda: front.job_in(event))
+        elif name in ("ackFirst", "attemptEnd", "dropped"):
+            self.guarded(who, name, lambda: front.on_handle(name, event))
+        elif name == "alarm":
+            front.router.woken()
+
+    def start(self, who: int, event: dict[str, Any]) -> None:
+        self.fronts[who] = Front(who, self.clock, self.output, event)
+
+    def guarded(self, who: int, name: str, call: Callable[[], None]) -> None:
+        """What goes wrong inside the decisions is reported as the wire provides, with its cause."""
+        try:
+            call()
+        except Exception as problem:
+            traceback.print_exc()
+            self.output.append({"exception": {"who": who, "text": f"{name}: {problem!r}"}})
--- /dev/null
+++ b/heathford/interface.py
@@ -0,0 +1,125 @@
+"""What passes between the decisions (heathford.choice) and whatever carries them out.
+
+A carrier, the drill adapter now and a real front later, makes one Router an instance, hands it a clock and
+an InstanceDoor, and calls it; each completion that it takes brings a CompletionDoor of its own and gets a
+handle back. Times are float seconds. Nothing here decides anything.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+
+class Role(Enum):
+    READER = "read"
+    WRITER = "write"
+    MIXED = "both"
+
+
+class Effect(Enum):
+    """What running a completion twice does: nothing, nothing inside a group, or harm."""
+
+    IDEMPOTENT = "idempotent"
+    TOKENED = "tokened"
+    NON_IDEMPOTENT = "non-idempotent"
+
+
+class Group(Enum):
+    """Which engines know a tokened repeat."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Health(Enum):
+    ON = "on"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Verdict(Enum):
+    """How a dispatch ended."""
+
+    FINISHED = "finished"
+    ERROR = "error"
+    FULL = "full"
+    TIMED_OUT = "timed out"
+    UNREACHABLE = "unreachable"
+    BROKEN = "broken"
+    CANCELLED = "cancelled"
+    UNSENT = "unsent"
+    READ = "read"
+
+
+# Outcomes which prove that the dispatch had no effect.
+NEVER_RAN = frozenset({Verdict.FULL, Verdict.UNREACHABLE, Verdict.UNSENT, Verdict.READ})
+
+
+@dataclass(frozen=True)
+class Workload:
+    latency_target: float  # s
+    target_per_1000: float  # s more for each 1,000 prompt tokens
+    token_target: float  # s from one token to the next
+    effect: Effect
+    group: Group
+    memory_time: float  # s for which a tokened repeat is known, from the send
+    value: float
+
+
+@dataclass(frozen=True)
+class Member:
+    per_second: float  # completions in its share, all fronts together
+
+
+@dataclass(frozen=True)
+class Kind:
+    role: Role
+    memory: int  # tokens
+
+
+class Clock(Protocol):
+    @property
+    def now(self) -> float: ...
+
+
+class CompletionDoor(Protocol):
+    """What can be done for one completion."""
+
+    def send(self, engine: int, timeout: float) -> None: ...
+
+    def cancel(self, seq: int) -> None: ...
+
+    def rate_limit(self, retry_after: float) -> None: ...
+
+    def abort(self) -> None: ...
+
+    def release(self) -> None: ...
+
+
+class InstanceDoor(Protocol):
+    """What can be done by the instance itself."""
+
+    def wake(self, after: float) -> None: ...
+
+    def subscribe(self) -> None: ...
+
+    def trace(self, text: str) -> None: ...
+
+
+class Handle(Protocol):
+    """A completion that was taken; all that happens to it is a call on this."""
+
+    @property
+    def settled(self) -> bool:
+        """Nothing more can happen to it."""
+
+    def first_token(self, seq: int, latency: float) -> None: ...
+
+    def ended(
+        self, seq: int, verdict: Verdict, latency: float, closed: bool, detail: int, load: Mapping[str, float]
+    ) -> None:
+        """A dispatch ended. Load: slots, queue, held, memory, as far as the engine reports them."""
+
+    def left(self) -> None: ...
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,217 @@
+"""The decisions, each on a few engines: readers 10.., writers 12.., mixed 14.. of cell 1."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from conftest import MEMBERS, Bench
+
+from heathford.choice import Fit, mixed_features, read_features
+from heathford.interface import Effect, Group, Health, Verdict
+
+New = Callable[..., Bench]
+FLEET = ((10, 0), (11, 0), (12, 1), (13, 1), (14, 2))
+IDEMPOTENT, TOKENED, NON_IDEMPOTENT = Effect.IDEMPOTENT, Effect.TOKENED, Effect.NON_IDEMPOTENT
+
+
+@pytest.mark.parametrize("slopes", [(0.02, 0.05), (0.0, 0.1), (0.3, 0.0)])
+def test_fit_finds_the_line_and_no_slope_is_negative(slopes: tuple[float, float]) -> None:
+    fit = Fit(2)
+    for i in range(200):
+        tokens = 100 + 97 * (i % 40)
+        fit.add(read_features(tokens), slopes[0] + slopes[1] * tokens / 1000)
+    assert fit.slopes == pytest.approx(slopes, abs=0.02)
+
+
+def test_one_stall_does_not_bend_a_fit() -> None:
+    fit = Fit(3)
+    for i in range(100):
+        fit.add(mixed_features(200 + 50 * (i % 30), 10_000), 0.1)
+    fit.add(mixed_features(1000, 10_000), 60.0)
+    assert fit.time(mixed_features(1000, 10_000)) < 0.2
+
+
+@pytest.mark.parametrize("prompt, kind", [(1500, "mixed"), (2500, "reader")])
+def test_start_reads_short_prompts_where_they_are_written(bench: New, prompt: int, kind: str) -> None:
+    b = bench()
+    b.engines(*FLEET)
+    b.take(prompt)
+    [(_, engine)] = b.asked()
+    assert (engine == 14) == (kind == "mixed")
+
+
+@pytest.mark.parametrize("read_slope, mixed_slope, reader", [
+    (0.05, 0.05, False), (0.05, 0.40, True), (0.40, 0.05, False)])
+def test_balanced_cut_chooses(bench: New, read_slope: float, mixed_slope: float, reader: bool) -> None:
+    b = bench()
+    b.engines(*FLEET)
+    for i in range(60):
+        tokens = 100 + 100 * (i % 30)
+        b.router.read_fit.add(read_features(tokens), 0.1 + read_slope * tokens / 1000)
+        b.router.mixed_fit.add(mixed_features(tokens, 0), 0.05 + mixed_slope * tokens / 1000)
+    b.take(3000)
+    [(_, engine)] = b.asked()
+    assert (engine in (10, 11)) == reader
+
+
+def test_session_stays_on_its_mixed_server_and_cached_tokens_count(bench: New) -> None:
+    b = bench()
+    b.engines(*FLEET, (15, 2), (16, 2))
+    first = b.take(1900)
+    [(_, engine)] = b.asked()
+    b.first(first)
+    b.end(first, Verdict.FINISHED, closed=True)
+    b.take(3500)  # 1,600 of them new
+    assert b.asked() == [("send", engine)]
+
+
+def test_memory_short_sends_short_prompts_to_a_reader_and_full_gates_wait(bench: New) -> None:
+    b = bench()
+    b.engines(*FLEET)
+    first = b.take(1500)
+    b.end(first, Verdict.FULL, memory=0.99)
+    assert next(e for _, e in b.asked()) == 14
+    for _ in range(3):
+        b.take(1500)
+    assert [e for _, e in b.asked() if e > 11] == []
+    b.take(1500)
+    assert len(b.router.waiting) == 1 and b.asked() == []
+
+
+@pytest.mark.parametrize("verdict, detail, effect, group, then", [
+    (Verdict.FULL, 0, NON_IDEMPOTENT, Group.ALL, "send"),
+    (Verdict.FULL, 1, NON_IDEMPOTENT, Group.ALL, "send"),
+    (Verdict.UNREACHABLE, 0, NON_IDEMPOTENT, Group.ALL, "send"),
+    (Verdict.TIMED_OUT, 0, NON_IDEMPOTENT, Group.ALL, "abort"),
+    (Verdict.ERROR, 0, NON_IDEMPOTENT, Group.ALL, "abort"),
+    (Verdict.BROKEN, 0, NON_IDEMPOTENT, Group.ALL, "abort"),
+    (Verdict.BROKEN, 0, IDEMPOTENT, Group.ALL, "send"),
+    (Verdict.ERROR, 0, TOKENED, Group.CELL, "send")])
+def test_next_step_after_a_write_failed(
+    bench: New, verdict: Verdict, detail: int, effect: Effect, group: Group, then: str
+) -> None:
+    b = bench(effect=effect, group=group)
+    b.engines(*FLEET)
+    c = b.take()
+    b.end(c, Verdict.READ)
+    b.asked()
+    b.end(c, verdict, detail=detail)
+    asked = b.asked()
+    assert asked[-1][0] == then
+    assert (("release",) in asked) >= (detail == 1)  # out of reach it is pinned still
+    assert (then == "send") or ("release",) in asked
+
+
+@pytest.mark.parametrize("group, elsewhere, later, stays", [
+    (Group.CELL, 22, 0.1, True), (Group.ZONE, 22, 0.1, False), (Group.ZONE, 122, 0.1, True),
+    (Group.ALL, 122, 0.1, False), (Group.ALL, 122, 2.5, True)])
+def test_tokened_repeats_stay_in_their_group_and_time(
+    bench: New, group: Group, elsewhere: int, later: float, stays: bool
+) -> None:
+    b = bench(effect=TOKENED, group=group)
+    b.engines((10, 0), (12, 1))
+    c = b.take()
+    b.end(c, Verdict.READ)
+    b.engines((12, 1), health=Health.DRAINING)
+    b.engines((elsewhere, 1))
+    b.asked()
+    b.end(c, Verdict.ERROR, after=later)
+    assert (("send", elsewhere) not in b.asked()) == stays
+
+
+@pytest.mark.parametrize("how", ["no writer", "client leaves", "out of time"])
+def test_nothing_stays_pinned(bench: New, how: str) -> None:
+    b = bench()
+    b.engines((10, 0))
+    c = b.take(due=b.now + (0.2 if how == "out of time" else 5.0))
+    b.end(c, Verdict.READ)
+    if how == "client leaves":
+        c.left()
+    b.wait(0.28)
+    asked = b.asked()
+    assert ("release",) in asked and (("rate_limit",) in asked) == (how == "out of time")
+
+
+@pytest.mark.parametrize("effect", [IDEMPOTENT, TOKENED, NON_IDEMPOTENT])
+def test_one_final_answer_in_time_when_no_engine_is_usable(bench: New, effect: Effect) -> None:
+    b = bench(effect=effect)
+    b.take(due=b.now + 1.0)
+    b.wait(0.98)
+    assert b.asked() == [("rate_limit",)]
+    b.wait(1.0)
+    assert b.asked() == []
+
+
+def test_no_send_to_draining_or_removed_engines(bench: New) -> None:
+    b = bench()
+    b.engines((10, 0), (11, 0))
+    b.engines((10, 0), health=Health.DRAINING)
+    b.router.list_begins(complete=True)
+    b.router.list_ends()
+    b.take()
+    assert b.asked() == []
+
+
+def test_reader_failing_fast_is_set_aside_and_returns_by_a_trickle(bench: New) -> None:
+    b = bench()
+    b.engines((10, 0), (12, 1))
+    c = b.take()
+    b.end(c, Verdict.UNREACHABLE, after=0.01)
+    assert b.asked() == [("send", 10)]
+    b.wait(0.6)
+    b.take()
+    assert b.asked() == [("send", 10)]  # one of the two
+    b.end(c, Verdict.READ)
+    assert [a for a in b.asked() if a[1] == 10] == [("send", 10)]
+
+
+def test_silent_engine_is_passed_over_before_its_time_out(bench: New) -> None:
+    b = bench()
+    b.engines((10, 0), (11, 0), (12, 1))
+    b.take(session="x")
+    [(_, silent)] = b.asked()
+    b.wait(1.5)
+    for _ in range(2):
+        b.take(session="x")
+    assert {e for _, e in b.asked()} == {21 - silent}
+
+
+def test_fronts_take_turns_at_a_cold_engine(bench: New) -> None:
+    sent = []
+    for number in range(3):
+        b = bench(number=number, fronts=3)
+        b.engines((10, 0), (12, 1), started=b.now)
+        b.wait(2.5)
+        b.take()
+        sent.append(len(b.asked()))
+    assert sent == [0, 1, 0]
+
+
+def test_restart_under_the_same_id_forgets_what_it_kept(bench: New) -> None:
+    b = bench()
+    b.engines(*FLEET)
+    c = b.take(1900)
+    b.first(c)
+    b.end(c, Verdict.FINISHED, closed=True)
+    assert b.router.engines[14].kept(c) == 1900
+    b.engines((14, 2), started=b.now)
+    assert b.router.engines[14].kept(c) == 0
+
+
+def test_members_beyond_their_share_wait_behind(bench: New) -> None:
+    b = bench(members=MEMBERS)
+    taken: list[Any] = [b.take(member=0, session=str(i)) for i in range(6)] + [b.take(member=1)]
+    b.router.decide()
+    assert b.router.waiting[4] is taken[-1]
+
+
+def test_same_events_same_actions(bench: New) -> None:
+    def play() -> list[tuple[Any, ...]]:
+        b = bench()
+        b.engines(*FLEET, (15, 1), (16, 1), (17, 1))
+        for i in range(20):
+            c = b.take(1000 + 300 * i, session=f"s{i % 4}")
+            if c.out and c.out.reading:
+                b.end(c, Verdict.READ)
+        return b.asked()
+    assert play() == play()
