Waiting reads no longer stop behind a held state; a trickle counts unanswered dispatches

A time-out at an engine that answers others is no failure. Could harm where an engine answers some and never others: time-outs then go on.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -120,6 +120,10 @@
         self.aside_until = 0.0
         self.trickle = self.wins = 0
 
+    @property
+    def unanswered(self) -> "list[Dispatch]":
+        return [d for d in self.out if not d.streaming]
+
     @property
     def tokens(self) -> float:
         return sum(d.tokens for d in self.out)
@@ -159,9 +163,8 @@
     def overdue(self, now: float) -> bool:
         """Guards against engines that take work and say nothing, whatever the reason: it acts long before a
         time-out. Could harm where one answer alone takes far longer than usual and nothing else is out."""
-        waiting = [d.sent for d in self.out if not d.streaming]
-        return bool(waiting) and min(waiting) > self.answered and (
-            now - min(waiting) > PATIENCE + USUAL * self.usual)
+        oldest = min((d.sent for d in self.unanswered), default=now)
+        return oldest > self.answered and now - oldest > PATIENCE + USUAL * self.usual
 
     def went_well(self, latency: float, now: float) -> None:
         self.answered, self.failures = now, 0
@@ -246,6 +249,8 @@
             self.let_go()  # gone, or out of the writer's reach and still pinned: read again
         elif verdict is Verdict.FULL:
             engine.full_at = now
+        elif verdict is Verdict.TIMED_OUT and engine.answered > dispatch.sent:
+            pass  # slow, but it answers others: setting it aside would only push them elsewhere
         elif verdict not in (Verdict.UNSENT, Verdict.CANCELLED) and not dispatch.streaming:
             engine.went_badly(verdict in (Verdict.UNREACHABLE, Verdict.BROKEN), now)
         if self.over:
@@ -395,7 +400,7 @@
                 self.waiting.append(completion)
             elif not self.placed(completion):
                 self.waiting.append(completion)
-                shut = shut or not completion.risky()
+                shut = shut or not (completion.state or completion.risky())
         if self.waiting and self.asleep:
             self.asleep = False
             self.door.wake(TICK)
@@ -501,7 +506,7 @@
         return [
             e for e in self.engines.values()
             if e.kind.role in roles and e.health is Health.ON and now >= e.aside_until
-            and not (e.trickle and len(e.out) >= e.trickle) and not e.overdue(now)
+            and not (e.trickle and len(e.unanswered) >= e.trickle) and not e.overdue(now)
             and (not self.cold(e) or self.has_turn(e))]
 
     def has_turn(self, engine: Engine) -> bool:
