Engines are set aside only where few of their role fail; a broken connection counts as one failure

Could harm where one fault really takes most of a role: they then get work until they are seen as silent.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -48,7 +48,8 @@
 # Health.
 ASIDE = 0.5  # s set aside after the first failure: shorter than the shortest latency target seen as usual
 ASIDE_MOST = 4.0  # s: a dead engine costs one dispatch in this time
-ERRORS = 2  # errors or time-outs in a row before an engine is set aside; one alone is chance
+ERRORS = 2.0  # failures in a row before an engine is set aside, one alone is chance; no connection counts so
+FEW = 0.4  # share of a role's engines that may fail at once before it is held for no engine's own fault
 TRICKLE_DONE = 16  # dispatches at once from which a trickle is over
 PATIENCE = 1.0  # s without an answer, on top of the usual time, before a dispatch is overdue
 USUAL = 3.0  # times the usual latency that an answer may take before it is overdue
@@ -116,7 +117,7 @@
         self.load: Mapping[str, float] = {}
         self.load_at = self.answered = self.full_at = -1e9
         self.usual = 0.0  # s to an answer, lately
-        self.failures = 0
+        self.failures = 0.0  # in a row
         self.aside_until = 0.0
         self.trickle = self.wins = 0
 
@@ -167,7 +168,7 @@
         return oldest > self.answered and now - oldest > PATIENCE + USUAL * self.usual
 
     def went_well(self, latency: float, now: float) -> None:
-        self.answered, self.failures = now, 0
+        self.answered, self.failures = now, 0.0
         self.usual += 0.1 * (latency - self.usual)
         if self.trickle:
             self.wins += 1
@@ -176,11 +177,12 @@
             if self.trickle >= TRICKLE_DONE:
                 self.trickle = 0
 
-    def went_badly(self, at_once: bool, now: float) -> None:
-        """Guards against engines that fail, above all fast ones whose empty queue would draw more work."""
-        self.failures += 1
-        if at_once or self.failures >= ERRORS or self.trickle:
-            self.aside_until = now + min(ASIDE * 2 ** max(0, self.failures - 1), ASIDE_MOST)
+    def went_badly(self, weight: float, now: float, alone: bool) -> None:
+        """Guards against engines that fail, above all fast ones whose empty queue would draw more work. Where
+        many of a role fail together the cause is not theirs, and setting them aside would leave nothing."""
+        self.failures += weight
+        if alone and (self.failures >= ERRORS or self.trickle):
+            self.aside_until = now + min(ASIDE * 2 ** max(0.0, self.failures - ERRORS), ASIDE_MOST)
             self.trickle, self.wins = 1, 0
 
 
@@ -252,7 +254,8 @@
         elif verdict is Verdict.TIMED_OUT and engine.answered > dispatch.sent:
             pass  # slow, but it answers others: setting it aside would only push them elsewhere
         elif verdict not in (Verdict.UNSENT, Verdict.CANCELLED) and not dispatch.streaming:
-            engine.went_badly(verdict in (Verdict.UNREACHABLE, Verdict.BROKEN), now)
+            weight = ERRORS if verdict is Verdict.UNREACHABLE else 1.0
+            engine.went_badly(weight, now, self.router.fails_alone(engine))
         if self.over:
             self.let_go()
         elif self.out is None:
@@ -498,6 +501,11 @@
 
     # Engines.
 
+    def fails_alone(self, engine: Engine) -> bool:
+        same = [e for e in self.engines.values() if e.kind.role is engine.kind.role and e.health is Health.ON]
+        failing = sum(1 for e in same if e.failures > 0 or e.trickle)
+        return failing <= max(1.0, FEW * len(same))
+
     def cold(self, engine: Engine) -> bool:
         return engine.started > 0 and self.clock.now - engine.started < self.warm_after
 
