Reads wait while no writer has room for them

Reads not yet taken are now held to two for each writer with room, and sends since a report count once for each front. Should also help when writers die; could harm where reports of memory are stuck high: then only local reads go on.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -47,6 +47,7 @@
 NEWS = 0.2  # weight of the newest latency: five answers or so tell a change
 BACKLOG = 0.4  # share of the latency target that an answer may take before an engine counts as backed up
 FULL_REST = 0.25  # s without room after a writer was full: a few answers end in that time
+PER_ROOM = 2  # our reads, not yet taken, for each writer with room: one going there, one being read
 STATES = 8  # our states that may wait at one reader before its gate closes: some 30,000 tokens of its memory
 
 # Health.
@@ -171,7 +172,7 @@
                 return False
             if "memory" in self.load:
                 since = sum(d.tokens for d in self.out if d.sent > self.load_at)
-                return since + tokens < (MEMORY_USED - self.load["memory"]) * self.kind.memory
+                return since * fronts + tokens < (MEMORY_USED - self.load["memory"]) * self.kind.memory
         return self.tokens * fronts + tokens < MEMORY_USED * self.kind.memory
 
     def overdue(self, now: float) -> bool:
@@ -461,9 +462,15 @@
         return cut >= HALF * CANDIDATES
 
     def pick_reader(self, completion: Completion) -> Engine | None:
+        """Guards against states piling up before full writers, the strain of the memory fallback: reads that
+        no writer has taken yet stay within what the writers with room can take."""
+        now, readers = self.clock.now, self.usable(Role.READER)
+        writers = self.usable(Role.WRITER, Role.MIXED)
+        roomy = sum(1 for e in writers if e.has_room(completion, now, self.fronts))
+        if sum(len(e.out) + e.states for e in readers) >= PER_ROOM * roomy:
+            return None
         open_ones = [
-            e for e in self.usable(Role.READER)
-            if len(e.out) < GATE and e.states < STATES and not e.backed_up(completion)]
+            e for e in readers if len(e.out) < GATE and e.states < STATES and not e.backed_up(completion)]
         return self.hashed_pair(completion, open_ones)
 
     def pick_mixed(self, completion: Completion) -> Engine | None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -122,8 +122,9 @@
 @pytest.mark.parametrize("how", ["no writer", "client leaves", "out of time"])
 def test_nothing_stays_pinned(bench: New, how: str) -> None:
     b = bench()
-    b.engines((10, 0))
+    b.engines((10, 0), (12, 1))
     c = b.take(due=b.now + (0.2 if how == "out of time" else 5.0))
+    b.engines((12, 1), health=Health.DRAINING)
     b.end(c, Verdict.READ)
     if how == "client leaves":
         c.left()
