Mixed read time is learned at the first token

The first token now counts, with the tokens that we believe were new. Could harm after a server lost its cache unnoticed: its first reads then look slow for their size.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -201,14 +201,13 @@
 
 
 class Dispatch:
-    def __init__(
-        self, engine: Engine, seq: int, reading: bool, local: bool, tokens: float, contexts: float, now: float
-    ) -> None:
-        self.engine, self.seq, self.tokens, self.contexts = engine, seq, tokens, contexts
-        self.reading, self.local = reading, local  # local: reads and streams at one mixed server
-        self.sent = now
+    def __init__(self, completion: "Completion", engine: Engine, reading: bool, now: float) -> None:
+        self.engine, self.seq, self.sent = engine, len(completion.dispatches), now
+        self.reading, self.local = reading, not reading and completion.state is None
+        self.new = completion.prompt - engine.kept(completion)  # tokens, as we believe
+        self.tokens = self.new if reading else completion.prompt
+        self.contexts = engine.contexts(now)
         self.streaming = False
-        self.ttft = 0.0
         self.verdict: Verdict | None = None
 
 
@@ -233,7 +232,9 @@
 
     def first_token(self, seq: int, latency: float) -> None:
         dispatch = self.dispatches[seq]
-        dispatch.streaming, dispatch.ttft = True, latency
+        dispatch.streaming = True
+        if dispatch.local:  # the stream's end would tell the cached tokens, but comes seconds late
+            self.router.mixed_fit.add(mixed_features(dispatch.new, dispatch.contexts), latency)
         self.over = True
         self.fetched()
         dispatch.engine.went_well(latency, self.router.clock.now)
@@ -252,17 +253,14 @@
         if self.out is dispatch:
             self.out = None
         self.held_since = now
+        if not detail and dispatch.new < self.prompt and verdict in (Verdict.READ, Verdict.FINISHED):
+            engine.keeps.clear()  # it lost what it kept, all at once as a rule
         if verdict is Verdict.READ:
             engine.went_well(latency, now)
-            if not detail and engine.kept(self):
-                engine.keeps.clear()  # it lost what it kept, all at once as a rule
             self.router.read_fit.add(read_features(self.prompt - detail), latency)
             engine.keep(self)
             self.state = engine
             engine.states += 1
-        elif verdict is Verdict.FINISHED and dispatch.local:
-            features = mixed_features(self.prompt - detail, dispatch.contexts)
-            self.router.mixed_fit.add(features, dispatch.ttft)
         elif verdict is Verdict.FULL and detail:
             self.let_go()  # gone, or out of the writer's reach and still pinned: read again
         elif verdict is Verdict.FULL:
@@ -543,12 +541,8 @@
 
     def send(self, completion: Completion, engine: Engine, reading: bool, timeout: float) -> None:
         now = self.clock.now
-        local = not reading and completion.state is None
-        new = completion.prompt - engine.kept(completion)
-        dispatch = Dispatch(
-            engine, len(completion.dispatches), reading, local, new if reading else completion.prompt,
-            engine.contexts(now), now)
-        if local:
+        dispatch = Dispatch(completion, engine, reading, now)
+        if dispatch.local:
             engine.keep(completion)
             remember(self.last_mixed, completion.session, engine)
         completion.dispatches.append(dispatch)
