Cold engines get all fronts' part in a turn; states already sent no longer hold reads back

Could harm where warm engines are pushed over their capacity when a cold one starts: the part is then taken of too much.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -34,13 +34,11 @@
 GATE = 2  # our reads out at one reader
 MEDIANS = 2.0  # times our median tokens that a session's last mixed server may hold
 
-# Fits.
 FADE = 0.98  # weight kept per answer: about fifty answers count, seconds of traffic
 OUTLIER = 4.0  # times the predicted time that an answer may count for; one stall must not bend a fit
 FLOOR = 0.02  # s: no answer counts as an outlier below about a step of an engine
 SWEEPS = 20  # per answer: each starts from the last solution, which moves little
 
-# Room.
 MEMORY_USED = 0.92  # share of memory up to which a writer has free blocks; the rest is for answers that grow
 SLOTS_USED = 0.97  # reported share of slots in use from which a new answer would queue
 REPORT_LIFE = 1.5  # s that a load report counts: several report periods
@@ -50,17 +48,16 @@
 PER_ROOM = 2  # our reads, not yet taken, for each writer with room: one going there, one being read
 STATES = 8  # our states that may wait at one reader before its gate closes: some 30,000 tokens of its memory
 
-# Health.
 ASIDE = 0.5  # s set aside after the first failure: shorter than the shortest latency target seen as usual
 ASIDE_MOST = 4.0  # s: a dead engine costs one dispatch in this time
 ERRORS = 2.0  # failures in a row before an engine is set aside: one alone is chance
 FAILURES = {Verdict.ERROR: 1.0, Verdict.TIMED_OUT: 1.0, Verdict.BROKEN: 1.0, Verdict.UNREACHABLE: ERRORS}
 FEW = 0.4  # share of a role's engines that may fail at once before it is held for no engine's own fault
 TRICKLE_DONE = 16  # dispatches at once from which a trickle is over
+COLD_PART = 0.8  # of the rule's own budget at the coldest, against warm engines' mean: the rest is chance
 PATIENCE = 1.0  # s without an answer, on top of the usual time, before a dispatch is overdue
 USUAL = 3.0  # times the usual latency that an answer may take before it is overdue
 
-# Waiting and letting go.
 TICK = 0.02  # s between two looks at what waits: small beside any latency target
 HOLD = 0.4  # share of the pin limit for which a state waits for a writer with room
 READ_SHARE = 0.5  # share of the time left that a read may take: leaves one more try
@@ -205,9 +202,9 @@
         self.engine, self.seq, self.sent = engine, len(completion.dispatches), now
         self.reading, self.local = reading, not reading and completion.state is None
         self.new = completion.prompt - engine.kept(completion)  # tokens, as we believe
-        self.tokens = self.new if reading else completion.prompt
+        self.tokens: float = self.new if reading else completion.prompt
         self.contexts = engine.contexts(now)
-        self.streaming = False
+        self.streaming: bool = False
         self.verdict: Verdict | None = None
 
 
@@ -339,7 +336,7 @@
         self.try_limit, self.pin_limit, self.may_cancel = try_limit, pin_limit, may_cancel
         self.retry_after = min(RETRY_AFTER, longest_retry) if may_delay_retries else 0.0
         self.warm_after, self.cold_window = warm_after, cold_window
-        self.cold_share = cold_from * cold_multiple / 2  # of a warm one's sends; half the rule's
+        self.cold_share = COLD_PART * cold_from * cold_multiple
         self.engines: dict[int, Engine] = {}
         self.listed: dict[int, None] = {}
         self.read_fit, self.mixed_fit = Fit(2), Fit(3)
@@ -437,7 +434,7 @@
             return True
         if reader:
             self.send(completion, reader, True, READ_SHARE * (completion.due - now))
-        return reader is not None
+        return bool(reader)
 
     def reader_reads(self, completion: Completion, reader: Engine, mixed: Engine) -> bool:
         """The design: the balanced cut over the candidates; from half on, a reader reads it all."""
@@ -465,7 +462,8 @@
         now, readers = self.clock.now, self.usable(Role.READER)
         writers = self.usable(Role.WRITER, Role.MIXED)
         roomy = sum(1 for e in writers if e.has_room(completion, now, self.fronts))
-        if sum(len(e.out) + e.states for e in readers) >= PER_ROOM * roomy:
+        held = sum(1 for c in self.waiting if c.state)
+        if sum(len(e.out) for e in readers) + held >= PER_ROOM * roomy:
             return None
         open_ones = [
             e for e in readers if len(e.out) < GATE and e.states < STATES and not e.backed_up(completion)]
@@ -526,13 +524,13 @@
 
     def has_turn(self, engine: Engine) -> bool:
         """Guards against all fronts finding an empty, slow engine at once: in turns of the rule's own window,
-        and at most a part of what warm engines of its role get from us in such a window."""
+        in which one front may send a part of what warm engines of its role get from all fronts."""
         now = self.clock.now
         if int((now - engine.started) / self.cold_window) % self.fronts != self.number % self.fronts:
             return False
         peers = [e for e in self.engines.values() if e.kind.role is engine.kind.role and not self.cold(e)]
         usual = sum(self.recent(e) for e in peers) / max(1, len(peers))
-        return self.recent(engine) < max(1.0, self.cold_share * usual)
+        return self.recent(engine) < max(1.0, self.cold_share * self.fronts * usual)
 
     def recent(self, engine: Engine) -> int:
         while engine.sent_at and engine.sent_at[0] < self.clock.now - self.cold_window:
