--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -154,15 +154,16 @@
         ours = sum(d.tokens for d in self.out if d.streaming)
         return self.load["memory"] * self.kind.memory if reported else ours
 
-    def backed_up(self, completion: "Completion") -> bool:
+    def backed_up(self, tightest: float) -> bool:
         """Guards against queues that nobody reports, whatever slows the engine: while its answers take a good
-        part of the latency target it gets one at a time. Could harm after a single very long prompt."""
-        return bool(self.unanswered) and self.usual > BACKLOG * (completion.target - completion.taken)
+        part of the tightest latency target, all share it, it gets one at a time. Could harm after one very
+        long prompt."""
+        return bool(self.unanswered) and self.usual > BACKLOG * tightest
 
-    def has_room(self, completion: "Completion", now: float, fronts: int) -> bool:
+    def has_room(self, completion: "Completion", now: float, fronts: int, tightest: float) -> bool:
         """Memory, slots, a queue and refusals each close a writer, so that states don't pile up behind it."""
         tokens = completion.prompt + completion.answer
-        if now - self.full_at < FULL_REST or self.backed_up(completion):
+        if now - self.full_at < FULL_REST or self.backed_up(tightest):
             return False
         if now - self.load_at < REPORT_LIFE and self.load:
             if self.load.get("queue", 0.0) >= 1.0 or self.load.get("slots", 0.0) >= SLOTS_USED:
@@ -215,8 +216,9 @@
     ) -> None:
         self.router, self.door, self.workload = router, door, workload
         self.session, self.shared, self.prompt, self.shared_tokens = session, shared, prompt, shared_tokens
-        self.answer, self.due, self.spare, self.taken = answer, due, spare, now
-        self.target = now + workload.latency_target + workload.target_per_1000 * prompt / 1000
+        self.answer, self.due, self.spare = answer, due, spare
+        target = workload.latency_target + workload.target_per_1000 * prompt / 1000
+        self.late_at = now + WAIT_SHARE * target  # from then on it can hardly meet its latency target
         self.dispatches: list[Dispatch] = []
         self.out: Dispatch | None = None
         self.state: Engine | None = None  # the reader where its state waits
@@ -305,9 +307,6 @@
             group is Group.ALL or d.engine.cell == engine.cell
             or (group is Group.ZONE and d.engine.zone == engine.zone) for d in risky)
 
-    def late(self, now: float) -> bool:
-        return now >= self.taken + WAIT_SHARE * (self.target - self.taken)
-
     def hopeless(self, now: float) -> bool:
         spoilt = self.risky() and self.workload.effect is Effect.NON_IDEMPOTENT
         return bool(spoilt) or len(self.dispatches) >= self.router.try_limit or now >= self.due - LAST_CALL
@@ -332,6 +331,7 @@
         self.clock, self.door = clock, door
         self.kinds, self.workloads, self.members = kinds, workloads, members
         self.random = random.Random(seed)
+        self.tightest = min(w.latency_target for w in workloads)
         self.number, self.fronts, self.zone = number, max(1, fronts), zone
         self.try_limit, self.pin_limit, self.may_cancel = try_limit, pin_limit, may_cancel
         self.retry_after = min(RETRY_AFTER, longest_retry) if may_delay_retries else 0.0
@@ -406,13 +406,13 @@
         can still meet theirs. Where none works, waiting costs nobody anything."""
         now, shut = self.clock.now, False
         crowded = self.crowded and bool(self.usable(Role.READER, Role.MIXED))
-        queue = sorted(self.waiting, key=lambda c: (c.state is None, c.spare, c.taken))
+        queue = sorted(self.waiting, key=lambda c: (c.state is None, c.spare, c.late_at))
         self.waiting = []
         for completion in queue:
             fresh = not completion.state and not completion.risky()
             if completion.over:
                 continue
-            if completion.hopeless(now) or (crowded and fresh and completion.late(now)):
+            if completion.hopeless(now) or (crowded and fresh and now >= completion.late_at):
                 completion.give_up()
             elif (shut and fresh) or not self.placed(completion):
                 self.waiting.append(completion)
@@ -427,7 +427,7 @@
         if completion.state:
             return self.write(completion, now)
         mixed = self.pick_mixed(completion)
-        local = mixed is not None and mixed.has_room(completion, now, self.fronts)
+        local = mixed is not None and mixed.has_room(completion, now, self.fronts, self.tightest)
         reader = self.pick_reader(completion) if tries > 1 else None
         if mixed and local and not (reader and self.reader_reads(completion, reader, mixed)):
             self.send(completion, mixed, False, completion.due - now)
@@ -461,12 +461,12 @@
         no writer has taken yet stay within what the writers with room can take."""
         now, readers = self.clock.now, self.usable(Role.READER)
         writers = self.usable(Role.WRITER, Role.MIXED)
-        roomy = sum(1 for e in writers if e.has_room(completion, now, self.fronts))
+        roomy = sum(1 for e in writers if e.has_room(completion, now, self.fronts, self.tightest))
         held = sum(1 for c in self.waiting if c.state)
         if sum(len(e.out) for e in readers) + held >= PER_ROOM * roomy:
             return None
         open_ones = [
-            e for e in readers if len(e.out) < GATE and e.states < STATES and not e.backed_up(completion)]
+            e for e in readers if len(e.out) < GATE and e.states < STATES and not e.backed_up(self.tightest)]
         return self.hashed_pair(completion, open_ones)
 
     def pick_mixed(self, completion: Completion) -> Engine | None:
@@ -491,7 +491,7 @@
         reader = completion.state
         assert reader is not None
         able = [e for e in self.usable(Role.WRITER, Role.MIXED) if completion.may_go_to(e, now)]
-        roomy = [e for e in able if e.has_room(completion, now, self.fronts)]
+        roomy = [e for e in able if e.has_room(completion, now, self.fronts, self.tightest)]
         waited = now - completion.held_since >= HOLD * self.pin_limit
         pool = roomy or (able if waited else [])
         near = [e for e in pool if e.zone == reader.zone]
