Engines out of reach are always set aside; failures in a row stay finite

Should also help where links between sites are cut. Could harm if every engine is briefly out of reach: nothing is then tried for half a second.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -53,6 +53,7 @@
 ERRORS = 2.0  # failures in a row before an engine is set aside: one alone is chance
 FAILURES = {Verdict.ERROR: 1.0, Verdict.TIMED_OUT: 1.0, Verdict.BROKEN: 1.0, Verdict.UNREACHABLE: ERRORS}
 FEW = 0.4  # share of a role's engines that may fail at once before it is held for no engine's own fault
+FAILURES_MOST = 9.0  # failures remembered: beyond these the longest time aside is reached anyway
 TRICKLE_DONE = 16  # dispatches at once from which a trickle is over
 COLD_PART = 0.8  # of the rule's own budget at the coldest, against warm engines' mean: the rest is chance
 PATIENCE = 1.0  # s without an answer, on top of the usual time, before a dispatch is overdue
@@ -191,9 +192,9 @@
 
     def went_badly(self, weight: float, now: float, alone: bool) -> None:
         """Guards against engines that fail, above all fast ones whose empty queue would draw more work. Where
-        many of a role fail together the cause is not theirs, and setting them aside would leave nothing."""
-        self.failures += weight
-        if alone and (self.failures >= ERRORS or self.trickle):
+        many of a role fail together the cause is not theirs; but one out of reach is always left."""
+        self.failures = min(self.failures + weight, FAILURES_MOST)
+        if weight >= ERRORS or (alone and (self.failures >= ERRORS or self.trickle)):
             self.aside_until = now + min(ASIDE * 2 ** max(0.0, self.failures - ERRORS), ASIDE_MOST)
             self.trickle, self.wins = 1, 0
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -173,6 +173,16 @@
     for c in taken * 2:
         b.end(c, Verdict.BROKEN, after=0.01)
     assert all(b.now >= e.aside_until for e in b.router.engines.values())
+    b.end(taken[0], Verdict.UNREACHABLE, after=0.01)  # but this says enough of one engine
+    assert any(b.now < e.aside_until for e in b.router.engines.values())
+
+
+def test_failures_without_end_stay_finite(bench: New) -> None:
+    b = bench()
+    b.engines((10, 0))
+    for i in range(2000):
+        b.router.engines[10].went_badly(1.0, b.now + i, alone=True)
+    assert b.router.engines[10].aside_until < b.now + 2010
 
 
 def test_a_slow_engine_gets_one_at_a_time_and_what_waits_too_long_makes_way(bench: New) -> None:
