Readers and mixed servers are drawn in the front's own zone while one is open there

Cause: two thirds of reads crossed sites, paid for each and were the first to fail when links were cut. Should also help against lost sites and cuts. Could harm where one site gets most of the traffic: its gates close first and then all are drawn; each shared beginning is read once in each zone.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -468,7 +468,7 @@
             return None
         open_ones = [
             e for e in readers if len(e.out) < GATE and e.states < STATES and not e.backed_up(self.tightest)]
-        return self.hashed_pair(completion, open_ones)
+        return self.hashed_pair(completion, [e for e in open_ones if e.zone == self.zone] or open_ones)
 
     def pick_mixed(self, completion: Completion) -> Engine | None:
         now = self.clock.now
@@ -476,7 +476,7 @@
         last = self.last_mixed.get(completion.session)
         if last in able and last.tokens <= MEDIANS * median(e.tokens for e in able):
             return last
-        return self.hashed_pair(completion, able)
+        return self.hashed_pair(completion, [e for e in able if e.zone == self.zone] or able)
 
     def hashed_pair(self, completion: Completion, engines: Sequence[Engine]) -> Engine | None:
         """Two drawn by hashing the shared beginning, else the session; the one with fewer of our tokens."""
