--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -18,6 +18,7 @@
 from collections import deque
 from collections.abc import Mapping, Sequence
 from hashlib import blake2b
+from math import exp2
 from statistics import median
 from typing import Any
 
@@ -35,6 +36,7 @@
 MEDIANS = 2.0  # times our median tokens that a session's last mixed server may hold
 
 FADE = 0.98  # weight kept per answer: about fifty answers count, seconds of traffic
+STALE = 5.0  # s without answers that halve a fit's times: some tens of completions at the least
 OUTLIER = 4.0  # times the predicted time that an answer may count for; one stall must not bend a fit
 FLOOR = 0.02  # s: no answer counts as an outlier below about a step of an engine
 SWEEPS = 20  # per answer: each starts from the last solution, which moves little
@@ -46,7 +48,6 @@
 BACKLOG = 0.4  # share of the latency target that an answer may take before an engine counts as backed up
 FULL_REST = 0.25  # s without room after a writer was full: a few answers end in that time
 PER_ROOM = 2  # our reads, not yet taken, for each writer with room: one going there, one being read
-STATES = 8  # our states that may wait at one reader before its gate closes: some 30,000 tokens of its memory
 
 ASIDE = 0.5  # s set aside after the first failure: shorter than the shortest latency target seen as usual
 ASIDE_MOST = 4.0  # s: a dead engine costs one dispatch in this time
@@ -78,8 +79,10 @@
         self.square = [[0.0] * width for _ in range(width)]
         self.moment = [0.0] * width
         self.slopes = [0.0] * width
+        self.last = 0.0
 
-    def add(self, features: Sequence[float], seconds: float) -> None:
+    def add(self, features: Sequence[float], seconds: float, now: float) -> None:
+        self.last = now
         if self.answers >= START_ANSWERS:
             seconds = min(seconds, OUTLIER * max(self.time(features), FLOOR))
         self.answers += 1
@@ -95,6 +98,11 @@
     def time(self, features: Sequence[float]) -> float:
         return sum(slope * x for slope, x in zip(self.slopes, features, strict=True))
 
+    def aged(self, features: Sequence[float], now: float) -> float:
+        """Guards against a side left out for good by what it once was, as when its cache was empty: without
+        answers its figures lose weight until it is tried again. Could harm by a slow read now and then."""
+        return exp2((self.last - now) / STALE) * self.time(features)
+
 
 def read_features(tokens: float) -> tuple[float, float]:
     return 1.0, tokens / 1000
@@ -121,7 +129,6 @@
         """A new process has nothing of what its predecessor kept or did."""
         self.started, self.aside_until = started, 0.0
         self.out: list[Dispatch] = []
-        self.states = 0  # read for us here and not yet fetched
         self.keeps: dict[str, int] = {}
         self.sent_at: deque[float] = deque()
         self.load: Mapping[str, float] = {}
@@ -231,13 +238,12 @@
         return self.over and self.out is None
 
     def first_token(self, seq: int, latency: float) -> None:
-        dispatch = self.dispatches[seq]
+        now, dispatch = self.router.clock.now, self.dispatches[seq]
         dispatch.streaming = True
         if dispatch.local:  # the stream's end would tell the cached tokens, but comes seconds late
-            self.router.mixed_fit.add(mixed_features(dispatch.new, dispatch.contexts), latency)
-        self.over = True
-        self.fetched()
-        dispatch.engine.went_well(latency, self.router.clock.now)
+            self.router.mixed_fit.add(mixed_features(dispatch.new, dispatch.contexts), latency, now)
+        self.over, self.state = True, None
+        dispatch.engine.went_well(latency, now)
 
     def ended(
         self, seq: int, verdict: Verdict, latency: float, closed: bool, detail: int, load: Mapping[str, float]
@@ -257,10 +263,9 @@
             engine.keeps.clear()  # it lost what it kept, all at once as a rule
         if verdict is Verdict.READ:
             engine.went_well(latency, now)
-            self.router.read_fit.add(read_features(self.prompt - detail), latency)
+            self.router.read_fit.add(read_features(self.prompt - detail), latency, now)
             engine.keep(self)
             self.state = engine
-            engine.states += 1
         elif verdict is Verdict.FULL and detail:
             self.let_go()  # gone, or out of the writer's reach and still pinned: read again
         elif verdict is Verdict.FULL:
@@ -281,16 +286,11 @@
         elif self.router.may_cancel and not self.out.streaming:
             self.door.cancel(self.out.seq)
 
-    def fetched(self) -> None:
-        if self.state:
-            self.state.states = max(0, self.state.states - 1)
-            self.state = None
-
     def let_go(self) -> None:
         """Nothing stays pinned: neither an answer nor a client's leaving frees a state by itself."""
         if self.state:
             self.door.release()
-            self.fetched()
+            self.state = None
 
     def risky(self) -> list[Dispatch]:
         """Dispatches that may have had an effect."""
@@ -443,12 +443,13 @@
         at_reader = completion.prompt - reader.kept(completion)
         if min(self.read_fit.answers, self.mixed_fit.answers) < START_ANSWERS:
             return at_mixed > START_TOKENS
-        contexts = mixed.contexts(self.clock.now)
+        now = self.clock.now
+        contexts = mixed.contexts(now)
 
         def lead(cut: int) -> float:
             part = cut / CANDIDATES
-            return self.read_fit.time(read_features(part * at_reader)) - self.mixed_fit.time(
-                mixed_features((1 - part) * at_mixed, contexts))
+            return self.read_fit.aged(read_features(part * at_reader), now) - self.mixed_fit.aged(
+                mixed_features((1 - part) * at_mixed, contexts), now)
 
         low, high = 0, CANDIDATES  # one time grows with the cut, the other falls: halve
         while high - low > 1:
@@ -466,8 +467,7 @@
         held = sum(1 for c in self.waiting if c.state)
         if sum(len(e.out) for e in readers) + held >= PER_ROOM * roomy:
             return None
-        open_ones = [
-            e for e in readers if len(e.out) < GATE and e.states < STATES and not e.backed_up(self.tightest)]
+        open_ones = [e for e in readers if len(e.out) < GATE and not e.backed_up(self.tightest)]
         return self.hashed_pair(completion, [e for e in open_ones if e.zone == self.zone] or open_ones)
 
     def pick_mixed(self, completion: Completion) -> Engine | None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -19,15 +19,15 @@
     fit = Fit(2)
     for i in range(200):
         tokens = 100 + 97 * (i % 40)
-        fit.add(read_features(tokens), slopes[0] + slopes[1] * tokens / 1000)
+        fit.add(read_features(tokens), slopes[0] + slopes[1] * tokens / 1000, 0.0)
     assert fit.slopes == pytest.approx(slopes, abs=0.02)
 
 
 def test_one_stall_does_not_bend_a_fit() -> None:
     fit = Fit(3)
     for i in range(100):
-        fit.add(mixed_features(200 + 50 * (i % 30), 10_000), 0.1)
-    fit.add(mixed_features(1000, 10_000), 60.0)
+        fit.add(mixed_features(200 + 50 * (i % 30), 10_000), 0.1, 0.0)
+    fit.add(mixed_features(1000, 10_000), 60.0, 0.0)
     assert fit.time(mixed_features(1000, 10_000)) < 0.2
 
 
@@ -40,15 +40,18 @@
     assert (engine == 14) == (kind == "mixed")
 
 
-@pytest.mark.parametrize("read_slope, mixed_slope, reader", [
-    (0.05, 0.05, False), (0.05, 0.40, True), (0.40, 0.05, False)])
-def test_balanced_cut_chooses(bench: New, read_slope: float, mixed_slope: float, reader: bool) -> None:
+@pytest.mark.parametrize("read_slope, mixed_slope, idle, reader", [
+    (0.05, 0.05, 0.0, False), (0.05, 0.40, 0.0, True), (0.40, 0.05, 0.0, False),
+    (0.05, 0.40, 30.0, False)])  # a side without answers is tried again
+def test_balanced_cut_chooses(
+    bench: New, read_slope: float, mixed_slope: float, idle: float, reader: bool
+) -> None:
     b = bench()
     b.engines(*FLEET)
     for i in range(60):
         tokens = 100 + 100 * (i % 30)
-        b.router.read_fit.add(read_features(tokens), 0.1 + read_slope * tokens / 1000)
-        b.router.mixed_fit.add(mixed_features(tokens, 0), 0.05 + mixed_slope * tokens / 1000)
+        b.router.read_fit.add(read_features(tokens), 0.1 + read_slope * tokens / 1000, b.now)
+        b.router.mixed_fit.add(mixed_features(tokens, 0), 0.05 + mixed_slope * tokens / 1000, b.now - idle)
     b.take(3000)
     [(_, engine)] = b.asked()
     assert (engine in (10, 11)) == reader
