Engines whose streams crawl get no more; caches are judged lost only by reads

Streams' times against their hints, summed over about ten, now close an engine while some of ours run there. An answer fetched by a writer no longer counts as a lost cache. Could harm where hints are all too low; does nothing where there are none.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -27,7 +27,7 @@
     Workload,
 )
 
-# The design page's own starting values.
+# The design page's own starting values come first.
 CANDIDATES = 512  # cuts tried
 HALF = 0.5  # of the prompt: a balanced cut from here on sends the read to a reader
 START_TOKENS = 2000  # new tokens: beyond this a reader reads until both fits are known
@@ -46,6 +46,9 @@
 REPORT_LIFE = 1.5  # s that a load report counts: several report periods
 NEWS = 0.2  # weight of the newest latency: five answers or so tell a change
 BACKLOG = 0.4  # share of the latency target that an answer may take before an engine counts as backed up
+PACE = 0.8  # of the time wanted for their tokens: streams slower than this leave no room for one more
+PACE_DOUBT = 5.0  # s of streams on pace presumed, so that a first few with bad hints don't count
+PACE_FADE = 0.9  # weight kept per stream: ten streams count, as hints are off by their own size
 FULL_REST = 0.25  # s without room after a writer was full: a few answers end in that time
 PER_ROOM = 2  # our reads, not yet taken, for each writer with room: one going there, one being read
 
@@ -62,8 +65,7 @@
 
 TICK = 0.02  # s between two looks at what waits: small beside any latency target
 HOLD = 0.4  # share of the pin limit for which a state waits for a writer with room
-READ_SHARE = 0.5  # share of the time left that a read may take: leaves one more try
-WRITE_SHARE = 0.6  # share of the time left that an answer may take to begin, if it may be sent again
+TRY_SHARE = 0.5  # share of the time left that a dispatch which may be repeated may take: leaves one more
 WAIT_SHARE = 0.5  # share of the latency target that may be spent waiting; the rest is for reading and writing
 LAST_CALL = 0.15  # s before the client timeout at which what waits is given up: a short read's time
 RETRY_AFTER = 0.5  # s that a rate-limited client should stay away: about what a full engine takes to clear
@@ -134,6 +136,7 @@
         self.load: Mapping[str, float] = {}
         self.load_at = self.answered = self.full_at = -1e9
         self.usual = 0.0  # s to an answer, lately
+        self.streamed = self.hinted = 0.0  # s that streams took lately, and should have
         self.failures = 0.0  # in a row
         self.trickle = self.wins = 0
 
@@ -158,32 +161,33 @@
 
     def contexts(self, now: float) -> float:
         """The reported memory share where there is one, else our own streams."""
-        reported = "memory" in self.load and now - self.load_at < REPORT_LIFE
-        ours = sum(d.tokens for d in self.out if d.streaming)
-        return self.load["memory"] * self.kind.memory if reported else ours
+        if "memory" in self.load and now - self.load_at < REPORT_LIFE:
+            return self.load["memory"] * self.kind.memory
+        return sum(d.tokens for d in self.out if d.streaming > 0)
 
     def backed_up(self, tightest: float) -> bool:
         """Guards against queues that nobody reports, whatever slows the engine: while its answers take a good
-        part of the tightest latency target, all share it, it gets one at a time. Could harm after one very
-        long prompt."""
+        part of the tightest latency target it gets one at a time. Could harm after one very long prompt."""
         return bool(self.unanswered) and self.usual > BACKLOG * tightest
 
+    def crawls(self) -> bool:
+        """Guards against streams slower than wanted, as where a mixed server reads too much, which first
+        tokens don't show: no more while some of ours run there. Hints are rough: could harm by chance."""
+        return self.streamed > PACE * (self.hinted + PACE_DOUBT) and len(self.out) > len(self.unanswered)
+
     def has_room(self, completion: "Completion", now: float, fronts: int, tightest: float) -> bool:
         """Memory, slots, a queue and refusals each close a writer, so that states don't pile up behind it."""
         tokens = completion.prompt + completion.answer
-        if now - self.full_at < FULL_REST or self.backed_up(tightest):
+        load = self.load if now - self.load_at < REPORT_LIFE else {}
+        if now - self.full_at < FULL_REST or self.backed_up(tightest) or self.crawls() or (
+                load.get("queue", 0.0) >= 1.0 or load.get("slots", 0.0) >= SLOTS_USED):
             return False
-        if now - self.load_at < REPORT_LIFE and self.load:
-            if self.load.get("queue", 0.0) >= 1.0 or self.load.get("slots", 0.0) >= SLOTS_USED:
-                return False
-            if "memory" in self.load:
-                since = sum(d.tokens for d in self.out if d.sent > self.load_at)
-                return since * fronts + tokens < (MEMORY_USED - self.load["memory"]) * self.kind.memory
-        return self.tokens * fronts + tokens < MEMORY_USED * self.kind.memory
+        since = sum(d.tokens for d in self.out if d.sent > self.load_at or "memory" not in load)
+        return since * fronts + tokens < (MEMORY_USED - load.get("memory", 0.0)) * self.kind.memory
 
     def overdue(self, now: float) -> bool:
-        """Guards against engines that take work and say nothing, whatever the reason: it acts long before a
-        time-out. Could harm where one answer alone takes far longer than usual and nothing else is out."""
+        """Guards against engines that take work and say nothing, long before a time-out. Could harm where one
+        answer takes far longer than usual and nothing else is out."""
         oldest = min((d.sent for d in self.unanswered), default=now)
         return oldest > self.answered and now - oldest > PATIENCE + USUAL * self.usual
 
@@ -213,7 +217,7 @@
         self.new = completion.prompt - engine.kept(completion)  # tokens, as we believe
         self.tokens: float = self.new if reading else completion.prompt
         self.contexts = engine.contexts(now)
-        self.streaming: bool = False
+        self.streaming: float = 0.0  # since when
         self.verdict: Verdict | None = None
 
 
@@ -230,8 +234,7 @@
         self.dispatches: list[Dispatch] = []
         self.out: Dispatch | None = None
         self.state: Engine | None = None  # the reader where its state waits
-        self.held_since = 0.0
-        self.over = False
+        self.held_since, self.over = 0.0, False
 
     @property
     def settled(self) -> bool:
@@ -239,7 +242,7 @@
 
     def first_token(self, seq: int, latency: float) -> None:
         now, dispatch = self.router.clock.now, self.dispatches[seq]
-        dispatch.streaming = True
+        dispatch.streaming = now
         if dispatch.local:  # the stream's end would tell the cached tokens, but comes seconds late
             self.router.mixed_fit.add(mixed_features(dispatch.new, dispatch.contexts), latency, now)
         self.over, self.state = True, None
@@ -251,28 +254,30 @@
         now, dispatch = self.router.clock.now, self.dispatches[seq]
         engine = dispatch.engine
         dispatch.verdict = verdict
-        if dispatch in engine.out:
-            engine.out.remove(dispatch)
+        engine.out = [d for d in engine.out if d is not dispatch]
         if load:
             engine.load, engine.load_at = load, now
         self.over = self.over or closed
         if self.out is dispatch:
             self.out = None
         self.held_since = now
-        if not detail and dispatch.new < self.prompt and verdict in (Verdict.READ, Verdict.FINISHED):
+        learnt = verdict is Verdict.READ or (verdict is Verdict.FINISHED and dispatch.local)
+        if learnt and not detail and dispatch.new < self.prompt:
             engine.keeps.clear()  # it lost what it kept, all at once as a rule
         if verdict is Verdict.READ:
             engine.went_well(latency, now)
             self.router.read_fit.add(read_features(self.prompt - detail), latency, now)
             engine.keep(self)
             self.state = engine
+        elif verdict is Verdict.FINISHED:
+            engine.streamed = engine.streamed * PACE_FADE + now - dispatch.streaming
+            engine.hinted = engine.hinted * PACE_FADE + self.answer * self.workload.token_target
         elif verdict is Verdict.FULL and detail:
             self.let_go()  # gone, or out of the writer's reach and still pinned: read again
         elif verdict is Verdict.FULL:
             engine.full_at = now
-        elif verdict in FAILURES and not dispatch.streaming and not (
-            verdict is Verdict.TIMED_OUT and engine.answered > dispatch.sent  # slow, but answers others
-        ):
+        elif verdict in FAILURES and not dispatch.streaming and (
+                verdict is not Verdict.TIMED_OUT or engine.answered < dispatch.sent):  # else only slow
             engine.went_badly(FAILURES[verdict], now, self.router.fails_alone(engine))
         if self.over:
             self.let_go()
@@ -344,8 +349,7 @@
         self.last_mixed: dict[str, Engine] = {}
         self.waiting: list[Completion] = []
         self.asleep, self.crowded = True, False
-        self.quotas = [m.per_second * QUOTA_BURST / self.fronts for m in members]
-        self.quota_at = clock.now
+        self.paid_until = [0.0] * len(members)  # when the share used so far is earned
         if subscribe:
             door.subscribe()
 
@@ -373,7 +377,7 @@
                 del self.engines[number]
 
     def list_failed(self) -> None:
-        self.door.subscribe()
+        self.door.subscribe()  # the list held stays valid
 
     def take(
         self, door: CompletionDoor, workload: int, member: int, session: str, shared: str, prompt: int,
@@ -390,12 +394,9 @@
     def beyond_share(self, member: int) -> bool:
         if member >= len(self.members):
             return False
-        passed, self.quota_at = self.clock.now - self.quota_at, self.clock.now
-        for i, m in enumerate(self.members):
-            share = m.per_second / self.fronts
-            self.quotas[i] = min(share * QUOTA_BURST, self.quotas[i] + share * passed)
-        spare = self.quotas[member] < 1.0
-        self.quotas[member] -= not spare
+        now, step = self.clock.now, self.fronts / max(self.members[member].per_second, 1e-9)
+        spare = self.paid_until[member] >= now + QUOTA_BURST
+        self.paid_until[member] = max(self.paid_until[member], now) + step * (not spare)
         return spare
 
     def woken(self) -> None:
@@ -434,7 +435,7 @@
             self.send(completion, mixed, False, completion.due - now)
             return True
         if reader:
-            self.send(completion, reader, True, READ_SHARE * (completion.due - now))
+            self.send(completion, reader, True, TRY_SHARE * (completion.due - now))
         return bool(reader)
 
     def reader_reads(self, completion: Completion, reader: Engine, mixed: Engine) -> bool:
@@ -501,7 +502,7 @@
             pair = self.random.sample(close, 2) if len(close) > 2 else close
             left = completion.due - now
             if completion.workload.effect is not Effect.NON_IDEMPOTENT:
-                left *= WRITE_SHARE
+                left *= TRY_SHARE
             self.send(completion, min(pair, key=lambda e: e.tokens / max(e.size, 1e-3)), False, left)
         elif waited:  # a state may not be held on: it is read anew once a writer can be had
             completion.let_go()
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -253,3 +253,19 @@
                 b.end(c, Verdict.READ)
         return b.asked()
     assert play() == play()
+
+
+def test_engine_whose_streams_crawl_gets_no_more(bench: New) -> None:
+    b = bench()
+    b.engines((14, 2))
+    for _ in range(6):
+        c = b.take(500, answer_hint=1.0)
+        b.first(c)
+        b.end(c, Verdict.FINISHED, after=4.0, closed=True, detail=1)
+    streaming = b.take(500, answer_hint=1.0)
+    b.first(streaming)
+    b.asked()
+    b.take(500, answer_hint=1.0)
+    assert b.asked() == []
+    b.end(streaming, Verdict.FINISHED, closed=True, detail=1)
+    assert b.asked() == [("send", 14)]  # none of ours runs there now: it is tried again
