An engine that turns work away rests twice as long each time in a row

Should also help against any engine that answers 'full' fast. Could harm a small engine that is full for an instant twice in a row.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -27,7 +27,6 @@
     Workload,
 )
 
-# The design page's own starting values come first.
 CANDIDATES = 512  # cuts tried
 HALF = 0.5  # of the prompt: a balanced cut from here on sends the read to a reader
 START_TOKENS = 2000  # new tokens: beyond this a reader reads until both fits are known
@@ -49,7 +48,7 @@
 PACE = 0.8  # of the time wanted for their tokens: streams slower than this leave no room for one more
 PACE_DOUBT = 5.0  # s of streams on pace presumed, so that a first few with bad hints don't count
 PACE_FADE = 0.9  # weight kept per stream: ten streams count, as hints are off by their own size
-FULL_REST = 0.25  # s without room after a writer was full: a few answers end in that time
+FULL_REST = 0.25  # s without room after an engine turned work away: a few answers end in that time
 PER_ROOM = 2  # our reads, not yet taken, for each writer with room: one going there, one being read
 
 ASIDE = 0.5  # s set aside after the first failure: shorter than the shortest latency target seen as usual
@@ -134,7 +133,8 @@
         self.keeps: dict[str, int] = {}
         self.sent_at: deque[float] = deque()
         self.load: Mapping[str, float] = {}
-        self.load_at = self.answered = self.full_at = -1e9
+        self.load_at = self.answered = -1e9
+        self.full_until = self.rest = 0.0  # no room after it turned work away, longer each time in a row
         self.usual = 0.0  # s to an answer, lately
         self.streamed = self.hinted = 0.0  # s that streams took lately, and should have
         self.failures = 0.0  # in a row
@@ -179,7 +179,7 @@
         """Memory, slots, a queue and refusals each close a writer, so that states don't pile up behind it."""
         tokens = completion.prompt + completion.answer
         load = self.load if now - self.load_at < REPORT_LIFE else {}
-        if now - self.full_at < FULL_REST or self.backed_up(tightest) or self.crawls() or (
+        if now < self.full_until or self.backed_up(tightest) or self.crawls() or (
                 load.get("queue", 0.0) >= 1.0 or load.get("slots", 0.0) >= SLOTS_USED):
             return False
         since = sum(d.tokens for d in self.out if d.sent > self.load_at or "memory" not in load)
@@ -192,7 +192,7 @@
         return oldest > self.answered and now - oldest > PATIENCE + USUAL * self.usual
 
     def went_well(self, latency: float, now: float) -> None:
-        self.answered, self.failures = now, 0.0
+        self.answered, self.failures, self.rest = now, 0.0, 0.0
         self.usual += NEWS * (latency - self.usual)
         if self.trickle:
             self.wins += 1
@@ -275,7 +275,8 @@
         elif verdict is Verdict.FULL and detail:
             self.let_go()  # gone, or out of the writer's reach and still pinned: read again
         elif verdict is Verdict.FULL:
-            engine.full_at = now
+            engine.rest = min(max(2 * engine.rest, FULL_REST), ASIDE_MOST)
+            engine.full_until = now + engine.rest
         elif verdict in FAILURES and not dispatch.streaming and (
                 verdict is not Verdict.TIMED_OUT or engine.answered < dispatch.sent):  # else only slow
             engine.went_badly(FAILURES[verdict], now, self.router.fails_alone(engine))
@@ -360,10 +361,10 @@
         self, number: int, zone: int, kind: int, cell: int, health: Health, size: float, started: float
     ) -> None:
         self.listed[number] = None
-        engine = self.engines.get(number)
-        if engine is None:
-            engine = self.engines[number] = Engine(number, zone, cell, self.kinds[kind], size, started)
-        elif engine.started != started:
+        if number not in self.engines:
+            self.engines[number] = Engine(number, zone, cell, self.kinds[kind], size, started)
+        engine = self.engines[number]
+        if engine.started != started:
             engine.begin(started)
         engine.health = health
         if self.cold(engine) and not engine.trickle:
@@ -491,11 +492,11 @@
     def write(self, completion: Completion, now: float) -> bool:
         """After the read: two from the reader's cell where it has room, else its zone, else anywhere."""
         reader = completion.state
-        assert reader is not None
+        assert reader
         able = [e for e in self.usable(Role.WRITER, Role.MIXED) if completion.may_go_to(e, now)]
         roomy = [e for e in able if e.has_room(completion, now, self.fronts, self.tightest)]
         waited = now - completion.held_since >= HOLD * self.pin_limit
-        pool = roomy or (able if waited else [])
+        pool = roomy or ([e for e in able if now >= e.full_until] or able if waited else [])
         near = [e for e in pool if e.zone == reader.zone]
         close = [e for e in near if e.cell == reader.cell] or near or pool
         if close:
@@ -519,10 +520,9 @@
     def usable(self, *roles: Role) -> list[Engine]:
         now = self.clock.now
         return [
-            e for e in self.engines.values()
-            if e.kind.role in roles and e.health is Health.ON and now >= e.aside_until
-            and not (e.trickle and len(e.unanswered) >= e.trickle) and not e.overdue(now)
-            and (not self.cold(e) or self.has_turn(e))]
+            e for e in self.engines.values() if e.kind.role in roles and e.health is Health.ON
+            and now >= e.aside_until and not (e.trickle and len(e.unanswered) >= e.trickle)
+            and not e.overdue(now) and (not self.cold(e) or self.has_turn(e))]
 
     def has_turn(self, engine: Engine) -> bool:
         """Guards against all fronts finding an empty, slow engine at once: in turns of the rule's own window,
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -269,3 +269,16 @@
     assert b.asked() == []
     b.end(streaming, Verdict.FINISHED, closed=True, detail=1)
     assert b.asked() == [("send", 14)]  # none of ours runs there now: it is tried again
+
+
+def test_an_engine_that_turns_work_away_rests_longer_each_time(bench: New) -> None:
+    b = bench()
+    b.engines((14, 2))
+    waits = []
+    for i in range(4):
+        c = b.take(500, session=str(i))
+        b.end(c, Verdict.FULL, after=0.01)
+        waits.append(round(b.router.engines[14].full_until - b.now, 2))
+        b.now = b.router.engines[14].full_until
+        c.left()
+    assert waits == [0.25, 0.5, 1.0, 2.0]
