--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -481,14 +481,13 @@
         return self.hashed_pair(completion, [e for e in able if e.zone == self.zone] or able)
 
     def hashed_pair(self, completion: Completion, engines: Sequence[Engine]) -> Engine | None:
-        """Two drawn by hashing the shared beginning, else the session; the one with fewer of our tokens, those
-        counted that this read would add: they are fewer where its session was read last."""
+        """Two drawn by hashing the shared beginning, else the session; the one with fewer of our tokens."""
         if not engines:
             return None
         key = completion.shared or completion.session
         pair = [max((blake2b(f"{seed}:{key}:{e.number}".encode()).digest(), e.number, e) for e in engines)[2]
                 for seed in (1, 2)]
-        return min(pair, key=lambda e: e.tokens + completion.prompt - e.kept(completion))
+        return min(pair, key=lambda e: e.tokens)
 
     def write(self, completion: Completion, now: float) -> bool:
         """After the read: two from the reader's cell where it has room, else its zone, else anywhere."""
