--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -470,9 +470,7 @@
         if sum(len(e.out) for e in readers) + held >= PER_ROOM * roomy:
             return None
         open_ones = [e for e in readers if len(e.out) < GATE and not e.backed_up(self.tightest)]
-        warm = [e for e in open_ones if e.kept(completion)]
-        pool = warm if self.crowded and warm else open_ones
-        return self.hashed_pair(completion, [e for e in pool if e.zone == self.zone] or pool)
+        return self.hashed_pair(completion, [e for e in open_ones if e.zone == self.zone] or open_ones)
 
     def pick_mixed(self, completion: Completion) -> Engine | None:
         now = self.clock.now
