The pair is drawn of all readers, not of open ones; a stuck beginning holds up no others

With closed gates the draw moved to other readers, sessions left what was kept of them, and the longer reads closed more gates. Should also help after flushes. Could harm where one new beginning takes most of the traffic: at most four readers a front take it.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -228,7 +228,7 @@
     ) -> None:
         self.router, self.door, self.workload = router, door, workload
         self.session, self.shared, self.prompt, self.shared_tokens = session, shared, prompt, shared_tokens
-        self.answer, self.due, self.spare = answer, due, spare
+        self.answer, self.due, self.spare, self.key = answer, due, spare, shared or session
         target = workload.latency_target + workload.target_per_1000 * prompt / 1000
         self.late_at = now + WAIT_SHARE * target  # from then on it can hardly meet its latency target
         self.dispatches: list[Dispatch] = []
@@ -407,20 +407,19 @@
         """The next step of all with no dispatch out; what can't be placed waits. While engines work but had
         no room at the last look, what has waited too long for its latency target makes way for those that
         can still meet theirs. Where none works, waiting costs nobody anything."""
-        now, shut = self.clock.now, False
+        now, stuck = self.clock.now, set[str]()  # beginnings that nothing takes now
         crowded = self.crowded and bool(self.usable(Role.READER, Role.MIXED))
-        queue = sorted(self.waiting, key=lambda c: (c.state is None, c.spare, c.late_at))
+        here = [c for c in self.waiting if not c.over]
+        queue = sorted(here, key=lambda c: (c.state is None, c.spare, c.late_at))
         self.waiting = []
         for completion in queue:
             fresh = not completion.state and not completion.risky()
-            if completion.over:
-                continue
             if completion.hopeless(now) or (crowded and fresh and now >= completion.late_at):
                 completion.give_up()
-            elif (shut and fresh) or not self.placed(completion):
+            elif (fresh and completion.key in stuck) or not self.placed(completion):
                 self.waiting.append(completion)
-                shut = shut or fresh  # no reader and no mixed server took it: none takes the next
-        self.crowded = shut
+                stuck.update([completion.key] * fresh)
+        self.crowded = bool(stuck)
         if self.waiting and self.asleep:
             self.asleep = False
             self.door.wake(TICK)
@@ -429,9 +428,8 @@
         now, tries = self.clock.now, self.try_limit - len(completion.dispatches)
         if completion.state:
             return self.write(completion, now)
-        mixed = self.pick_mixed(completion)
+        mixed, reader = self.pick_mixed(completion), self.pick_reader(completion) if tries > 1 else None
         local = mixed is not None and mixed.has_room(completion, now, self.fronts, self.tightest)
-        reader = self.pick_reader(completion) if tries > 1 else None
         if mixed and local and not (reader and self.reader_reads(completion, reader, mixed)):
             self.send(completion, mixed, False, completion.due - now)
             return True
@@ -470,7 +468,7 @@
         if sum(len(e.out) for e in readers) + held >= PER_ROOM * roomy:
             return None
         open_ones = [e for e in readers if len(e.out) < GATE and not e.backed_up(self.tightest)]
-        return self.hashed_pair(completion, [e for e in open_ones if e.zone == self.zone] or open_ones)
+        return self.hashed_pair(completion, readers, open_ones)
 
     def pick_mixed(self, completion: Completion) -> Engine | None:
         now = self.clock.now
@@ -478,16 +476,18 @@
         last = self.last_mixed.get(completion.session)
         if last in able and last.tokens <= MEDIANS * median(e.tokens for e in able):
             return last
-        return self.hashed_pair(completion, [e for e in able if e.zone == self.zone] or able)
-
-    def hashed_pair(self, completion: Completion, engines: Sequence[Engine]) -> Engine | None:
-        """Two drawn by hashing the shared beginning, else the session; the one with fewer of our tokens."""
-        if not engines:
-            return None
-        key = completion.shared or completion.session
-        pair = [max((blake2b(f"{seed}:{key}:{e.number}".encode()).digest(), e.number, e) for e in engines)[2]
-                for seed in (1, 2)]
-        return min(pair, key=lambda e: e.tokens)
+        return self.hashed_pair(completion, able, able)
+
+    def hashed_pair(self, completion: Completion, engines: list[Engine], free: list[Engine]) -> Engine | None:
+        """Two drawn by hashing the shared beginning, else the session, in the own zone; with both closed, two
+        of all. Drawn from open ones only, a session would move under load and be read anew each time."""
+        for pool in ([e for e in engines if e.zone == self.zone], engines):
+            pair = [max(pool, key=lambda e: blake2b(f"{seed}:{completion.key}:{e.number}".encode()).digest())
+                    for seed in (1, 2) if pool]
+            able = [e for e in pair if e in free]
+            if able:
+                return min(able, key=lambda e: e.tokens)
+        return None
 
     def write(self, completion: Completion, now: float) -> bool:
         """After the read: two from the reader's cell where it has room, else its zone, else anywhere."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -282,3 +282,15 @@
         b.now = b.router.engines[14].full_until
         c.left()
     assert waits == [0.25, 0.5, 1.0, 2.0]
+
+
+def test_a_full_pair_makes_its_own_wait_and_holds_up_no_others(bench: New) -> None:
+    b = bench()
+    b.engines((10, 0), (11, 0), (15, 0), (12, 1), (13, 1), (16, 1), (17, 1))
+    for i in range(6):
+        b.take(session=str(i), shared="text")
+    readers = [e for _, e in b.asked()]
+    assert len(readers) == 2 * len(set(readers)) < 6  # one stays free: the text isn't kept there
+    for i in range(20):
+        b.take(session=f"other{i}")
+    assert {e for _, e in b.asked()} == {10, 11, 15} - set(readers)
