--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -43,7 +43,7 @@
 MEMORY_USED = 0.92  # share of memory up to which a writer has free blocks; the rest is for answers that grow
 SLOTS_USED = 0.97  # reported share of slots in use from which a new answer would queue
 REPORT_LIFE = 1.5  # s that a load report counts: several report periods
-NEWS = 0.2  # weight of the newest latency or cache find: five answers or so tell a change
+NEWS = 0.2  # weight of the newest latency: five answers or so tell a change
 BACKLOG = 0.4  # share of the latency target that an answer may take before an engine counts as backed up
 PACE = 0.8  # of the time wanted for their tokens: streams slower than this leave no room for one more
 PACE_DOUBT = 5.0  # s of streams on pace presumed, so that a first few with bad hints don't count
@@ -131,7 +131,6 @@
         self.started, self.aside_until = started, 0.0
         self.out: list[Dispatch] = []
         self.keeps: dict[str, int] = {}
-        self.novel = 1.0  # share of the tokens new to us that are new to it: other fronts' texts are kept too
         self.sent_at: deque[float] = deque()
         self.load: Mapping[str, float] = {}
         self.load_at = self.answered = -1e9
@@ -154,9 +153,6 @@
         shared = completion.shared_tokens if completion.shared in self.keeps else 0
         return min(max(shared, self.keeps.get(completion.session, 0)), completion.prompt)
 
-    def new(self, completion: "Completion") -> float:
-        return self.novel * (completion.prompt - self.kept(completion))
-
     def keep(self, completion: "Completion") -> None:
         c = completion
         for key, tokens in ((c.shared, c.shared_tokens), (c.session, c.prompt)):
@@ -218,7 +214,7 @@
     def __init__(self, completion: "Completion", engine: Engine, reading: bool, now: float) -> None:
         self.engine, self.seq, self.sent = engine, len(completion.dispatches), now
         self.reading, self.local = reading, not reading and completion.state is None
-        self.unseen, self.new = completion.prompt - engine.kept(completion), engine.new(completion)  # tokens
+        self.new = completion.prompt - engine.kept(completion)  # tokens, as we believe
         self.tokens: float = self.new if reading else completion.prompt
         self.contexts = engine.contexts(now)
         self.streaming: float = 0.0  # since when
@@ -266,10 +262,8 @@
             self.out = None
         self.held_since = now
         learnt = verdict is Verdict.READ or (verdict is Verdict.FINISHED and dispatch.local)
-        if learnt and not detail and dispatch.unseen < self.prompt:
+        if learnt and not detail and dispatch.new < self.prompt:
             engine.keeps.clear()  # it lost what it kept, all at once as a rule
-        if learnt and dispatch.unseen:
-            engine.novel += NEWS * (min(1.0, (self.prompt - detail) / dispatch.unseen) - engine.novel)
         if verdict is Verdict.READ:
             engine.went_well(latency, now)
             self.router.read_fit.add(read_features(self.prompt - detail), latency, now)
@@ -445,7 +439,8 @@
 
     def reader_reads(self, completion: Completion, reader: Engine, mixed: Engine) -> bool:
         """The design: the balanced cut over the candidates; from half on, a reader reads it all."""
-        at_mixed, at_reader = mixed.new(completion), reader.new(completion)
+        at_mixed = completion.prompt - mixed.kept(completion)
+        at_reader = completion.prompt - reader.kept(completion)
         if min(self.read_fit.answers, self.mixed_fit.answers) < START_ANSWERS:
             return at_mixed > START_TOKENS
         now = self.clock.now
