An engine is backed up by what it has not answered; failing together is judged over all engines

Should also help with any engine that loses answers. Could harm where exactly half the fleet fails by one cause.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -55,7 +55,7 @@
 ASIDE_MOST = 4.0  # s: a dead engine costs one dispatch in this time
 ERRORS = 2.0  # failures in a row before an engine is set aside: one alone is chance
 FAILURES = {Verdict.ERROR: 1.0, Verdict.TIMED_OUT: 1.0, Verdict.BROKEN: 1.0, Verdict.UNREACHABLE: ERRORS}
-FEW = 0.4  # share of a role's engines that may fail at once before it is held for no engine's own fault
+FEW = 0.5  # share of all engines that may fail at once before it is held for no engine's own fault
 FAILURES_MOST = 9.0  # failures remembered: beyond these the longest time aside is reached anyway
 TRICKLE_DONE = 16  # dispatches at once from which a trickle is over
 COLD_PART = 0.8  # of the rule's own budget at the coldest, against warm engines' mean: the rest is chance
@@ -165,10 +165,13 @@
             return self.load["memory"] * self.kind.memory
         return sum(d.tokens for d in self.out if d.streaming > 0)
 
-    def backed_up(self, tightest: float) -> bool:
-        """Guards against queues that nobody reports, whatever slows the engine: while its answers take a good
-        part of the tightest latency target it gets one at a time. Could harm after one very long prompt."""
-        return bool(self.unanswered) and self.usual > BACKLOG * tightest
+    def oldest(self, now: float) -> float:
+        return min((d.sent for d in self.unanswered), default=now)
+
+    def backed_up(self, now: float, tightest: float) -> bool:
+        """Guards against queues that nobody reports: while an engine's answers, or the one longest awaited,
+        take a good part of the tightest latency target it gets one at a time. A very long prompt misleads it."""
+        return bool(self.unanswered) and max(self.usual, now - self.oldest(now)) > BACKLOG * tightest
 
     def crawls(self) -> bool:
         """Guards against streams slower than wanted, as where a mixed server reads too much, which first
@@ -179,7 +182,7 @@
         """Memory, slots, a queue and refusals each close a writer, so that states don't pile up behind it."""
         tokens = completion.prompt + completion.answer
         load = self.load if now - self.load_at < REPORT_LIFE else {}
-        if now < self.full_until or self.backed_up(tightest) or self.crawls() or (
+        if now < self.full_until or self.backed_up(now, tightest) or self.crawls() or (
                 load.get("queue", 0.0) >= 1.0 or load.get("slots", 0.0) >= SLOTS_USED):
             return False
         since = sum(d.tokens for d in self.out if d.sent > self.load_at or "memory" not in load)
@@ -188,8 +191,7 @@
     def overdue(self, now: float) -> bool:
         """Guards against engines that take work and say nothing, long before a time-out. Could harm where one
         answer takes far longer than usual and nothing else is out."""
-        oldest = min((d.sent for d in self.unanswered), default=now)
-        return oldest > self.answered and now - oldest > PATIENCE + USUAL * self.usual
+        return self.oldest(now) > self.answered and now - self.oldest(now) > PATIENCE + USUAL * self.usual
 
     def went_well(self, latency: float, now: float) -> None:
         self.answered, self.failures, self.rest = now, 0.0, 0.0
@@ -203,7 +205,7 @@
 
     def went_badly(self, weight: float, now: float, alone: bool) -> None:
         """Guards against engines that fail, above all fast ones whose empty queue would draw more work. Where
-        many of a role fail together the cause is not theirs; but one out of reach is always left."""
+        most fail together the cause is not theirs; but one out of reach is always left."""
         self.failures = min(self.failures + weight, FAILURES_MOST)
         if weight >= ERRORS or (alone and (self.failures >= ERRORS or self.trickle)):
             self.aside_until = now + min(ASIDE * 2 ** max(0.0, self.failures - ERRORS), ASIDE_MOST)
@@ -279,7 +281,7 @@
             engine.full_until = now + engine.rest
         elif verdict in FAILURES and not dispatch.streaming and (
                 verdict is not Verdict.TIMED_OUT or engine.answered < dispatch.sent):  # else only slow
-            engine.went_badly(FAILURES[verdict], now, self.router.fails_alone(engine))
+            engine.went_badly(FAILURES[verdict], now, self.router.fails_alone())
         if self.over:
             self.let_go()
         else:
@@ -467,7 +469,7 @@
         held = sum(1 for c in self.waiting if c.state)
         if sum(len(e.out) for e in readers) + held >= PER_ROOM * roomy:
             return None
-        open_ones = [e for e in readers if len(e.out) < GATE and not e.backed_up(self.tightest)]
+        open_ones = [e for e in readers if len(e.out) < GATE and not e.backed_up(now, self.tightest)]
         return self.hashed_pair(completion, readers, open_ones)
 
     def pick_mixed(self, completion: Completion) -> Engine | None:
@@ -509,10 +511,9 @@
             completion.let_go()
         return bool(close)
 
-    def fails_alone(self, engine: Engine) -> bool:
-        same = [e for e in self.engines.values() if e.kind.role is engine.kind.role and e.health is Health.ON]
-        failing = sum(1 for e in same if e.failures > 0 or e.trickle)
-        return failing <= max(1.0, FEW * len(same))
+    def fails_alone(self) -> bool:
+        failing = sum(1 for e in self.engines.values() if e.failures or e.trickle)
+        return failing <= max(1.0, FEW * len(self.engines))
 
     def cold(self, engine: Engine) -> bool:
         return engine.started > 0 and self.clock.now - engine.started < self.warm_after
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -294,3 +294,25 @@
     for i in range(20):
         b.take(session=f"other{i}")
     assert {e for _, e in b.asked()} == {10, 11, 15} - set(readers)
+
+
+def test_an_engine_is_backed_up_by_what_it_has_not_answered(bench: New) -> None:
+    b = bench()
+    b.engines((10, 0), (12, 1))
+    b.end(b.take(), Verdict.READ, after=0.01)
+    b.asked()
+    b.take(session="x")
+    b.wait(0.45)  # not overdue yet, but longer than a good answer takes
+    b.take(session="y")
+    assert b.asked() == [("send", 10)]
+
+
+@pytest.mark.parametrize("failing, aside", [(2, True), (5, False)])
+def test_failing_together_is_judged_over_all_engines(bench: New, failing: int, aside: bool) -> None:
+    b = bench()
+    b.engines(*FLEET, (15, 2))
+    engines = list(b.router.engines.values())
+    for e in engines[-failing:]:
+        e.went_badly(1.0, b.now, b.router.fails_alone())
+    engines[-1].went_badly(1.0, b.now, b.router.fails_alone())
+    assert (engines[-1].aside_until > b.now) == aside
