--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -170,7 +170,7 @@
 
     def backed_up(self, now: float, tightest: float) -> bool:
         """Guards against queues that nobody reports: while an engine's answers, or the one longest awaited,
-        take a good part of the tightest latency target it gets one at a time. A very long prompt misleads it."""
+        take a good part of the tightest latency target it gets one at a time. Long prompts mislead it."""
         return bool(self.unanswered) and max(self.usual, now - self.oldest(now)) > BACKLOG * tightest
 
     def crawls(self) -> bool:
@@ -409,7 +409,7 @@
         """The next step of all with no dispatch out; what can't be placed waits. While engines work but had
         no room at the last look, what has waited too long for its latency target makes way for those that
         can still meet theirs. Where none works, waiting costs nobody anything."""
-        now, tight, stuck = self.clock.now, False, set[str]()  # beginnings that nothing takes now
+        now, stuck = self.clock.now, set[str]()  # beginnings that nothing takes now
         crowded = self.crowded and bool(self.usable(Role.READER, Role.MIXED))
         here = [c for c in self.waiting if not c.over]
         queue = sorted(here, key=lambda c: (c.state is None, c.spare, c.late_at))
@@ -418,11 +418,9 @@
             fresh = not completion.state and not completion.risky()
             if completion.hopeless(now) or (crowded and fresh and now >= completion.late_at):
                 completion.give_up()
-            elif (fresh and (completion.key in stuck or (completion.spare and tight))) or (
-                    not self.placed(completion)):
+            elif (fresh and completion.key in stuck) or not self.placed(completion):
                 self.waiting.append(completion)
                 stuck.update([completion.key] * fresh)
-                tight = tight or not completion.spare
         self.crowded = bool(stuck)
         if self.waiting and self.asleep:
             self.asleep = False
