What slow streams said fades; tried: mixed servers without room in the own zone, two of all drawn

What its streams said now halves every five seconds. Fading could harm where a server stays slow: it is tried every few seconds.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -35,7 +35,7 @@
 MEDIANS = 2.0  # times our median tokens that a session's last mixed server may hold
 
 FADE = 0.98  # weight kept per answer: about fifty answers count, seconds of traffic
-STALE = 5.0  # s without answers that halve a fit's times: some tens of completions at the least
+STALE = 5.0  # s without news that halve what a fit or a stream said: some tens of completions
 OUTLIER = 4.0  # times the predicted time that an answer may count for; one stall must not bend a fit
 FLOOR = 0.02  # s: no answer counts as an outlier below about a step of an engine
 SWEEPS = 20  # per answer: each starts from the last solution, which moves little
@@ -136,7 +136,7 @@
         self.load_at = self.answered = -1e9
         self.full_until = self.rest = 0.0  # no room after it turned work away, longer each time in a row
         self.usual = 0.0  # s to an answer, lately
-        self.streamed = self.hinted = 0.0  # s that streams took lately, and should have
+        self.streamed = self.hinted = self.streamed_at = 0.0  # s that streams took lately, and should have
         self.failures = 0.0  # in a row
         self.trickle = self.wins = 0
 
@@ -173,16 +173,17 @@
         take a good part of the tightest latency target it gets one at a time. Long prompts mislead it."""
         return bool(self.unanswered) and max(self.usual, now - self.oldest(now)) > BACKLOG * tightest
 
-    def crawls(self) -> bool:
+    def crawls(self, now: float) -> bool:
         """Guards against streams slower than wanted, as where a mixed server reads too much, which first
-        tokens don't show: no more while some of ours run there. Hints are rough: could harm by chance."""
-        return self.streamed > PACE * (self.hinted + PACE_DOUBT) and len(self.out) > len(self.unanswered)
+        tokens don't show; what was seen fades, so that it is tried again. Rough hints could mislead it."""
+        weight = exp2((self.streamed_at - now) / STALE)
+        return weight * self.streamed > PACE * (weight * self.hinted + PACE_DOUBT)
 
     def has_room(self, completion: "Completion", now: float, fronts: int, tightest: float) -> bool:
         """Memory, slots, a queue and refusals each close a writer, so that states don't pile up behind it."""
         tokens = completion.prompt + completion.answer
         load = self.load if now - self.load_at < REPORT_LIFE else {}
-        if now < self.full_until or self.backed_up(now, tightest) or self.crawls() or (
+        if now < self.full_until or self.backed_up(now, tightest) or self.crawls(now) or (
                 load.get("queue", 0.0) >= 1.0 or load.get("slots", 0.0) >= SLOTS_USED):
             return False
         since = sum(d.tokens for d in self.out if d.sent > self.load_at or "memory" not in load)
@@ -272,7 +273,7 @@
             engine.keep(self)
             self.state = engine
         elif verdict is Verdict.FINISHED:
-            engine.streamed = engine.streamed * PACE_FADE + now - dispatch.streaming
+            engine.streamed, engine.streamed_at = engine.streamed * PACE_FADE + now - dispatch.streaming, now
             engine.hinted = engine.hinted * PACE_FADE + self.answer * self.workload.token_target
         elif verdict is Verdict.FULL and detail:
             self.let_go()  # gone, or out of the writer's reach and still pinned: read again
@@ -431,8 +432,7 @@
         if completion.state:
             return self.write(completion, now)
         mixed, reader = self.pick_mixed(completion), self.pick_reader(completion) if tries > 1 else None
-        local = mixed is not None and mixed.has_room(completion, now, self.fronts, self.tightest)
-        if mixed and local and not (reader and self.reader_reads(completion, reader, mixed)):
+        if mixed and not (reader and self.reader_reads(completion, reader, mixed)):
             self.send(completion, mixed, False, completion.due - now)
             return True
         if reader:
@@ -473,12 +473,12 @@
         return self.hashed_pair(completion, readers, open_ones)
 
     def pick_mixed(self, completion: Completion) -> Engine | None:
-        now = self.clock.now
+        now, last = self.clock.now, self.last_mixed.get(completion.session)
         able = [e for e in self.usable(Role.MIXED) if completion.may_go_to(e, now)]
-        last = self.last_mixed.get(completion.session)
-        if last in able and last.tokens <= MEDIANS * median(e.tokens for e in able):
+        roomy = [e for e in able if e.has_room(completion, now, self.fronts, self.tightest)]
+        if last in roomy and last.tokens <= MEDIANS * median(e.tokens for e in able):
             return last
-        return self.hashed_pair(completion, able, able)
+        return self.hashed_pair(completion, able, roomy)
 
     def hashed_pair(self, completion: Completion, engines: list[Engine], free: list[Engine]) -> Engine | None:
         """Two drawn by hashing the shared beginning, else the session, in the own zone; with both closed, two
