--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -432,7 +432,8 @@
         if completion.state:
             return self.write(completion, now)
         mixed, reader = self.pick_mixed(completion), self.pick_reader(completion) if tries > 1 else None
-        if mixed and not (reader and self.reader_reads(completion, reader, mixed)):
+        local = mixed is not None and mixed.has_room(completion, now, self.fronts, self.tightest)
+        if mixed and local and not (reader and self.reader_reads(completion, reader, mixed)):
             self.send(completion, mixed, False, completion.due - now)
             return True
         if reader:
@@ -475,10 +476,9 @@
     def pick_mixed(self, completion: Completion) -> Engine | None:
         now, last = self.clock.now, self.last_mixed.get(completion.session)
         able = [e for e in self.usable(Role.MIXED) if completion.may_go_to(e, now)]
-        roomy = [e for e in able if e.has_room(completion, now, self.fronts, self.tightest)]
-        if last in roomy and last.tokens <= MEDIANS * median(e.tokens for e in able):
+        if last in able and last.tokens <= MEDIANS * median(e.tokens for e in able):
             return last
-        return self.hashed_pair(completion, able, roomy)
+        return self.hashed_pair(completion, able, able)
 
     def hashed_pair(self, completion: Completion, engines: list[Engine], free: list[Engine]) -> Engine | None:
         """Two drawn by hashing the shared beginning, else the session, in the own zone; with both closed, two
