What found no place is looked at once a tick; outcomes are looked at in their own batch

Usable engines are listed once a look, at most eight beginnings find no place in one. News of what was never sent, or told before, is ignored.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -37,7 +37,6 @@
 FADE = 0.98  # weight kept per answer: about fifty answers count, seconds of traffic
 STALE = 5.0  # s without news that halve what a fit or a stream said: some tens of completions
 OUTLIER = 4.0  # times the predicted time that an answer may count for; one stall must not bend a fit
-FLOOR = 0.02  # s: no answer counts as an outlier below about a step of an engine
 SWEEPS = 20  # per answer: each starts from the last solution, which moves little
 
 MEMORY_USED = 0.92  # share of memory up to which a writer has free blocks; the rest is for answers that grow
@@ -62,6 +61,7 @@
 PATIENCE = 1.0  # s without an answer, on top of the usual time, before a dispatch is overdue
 USUAL = 3.0  # times the usual latency that an answer may take before it is overdue
 
+LOOKS = 8  # beginnings that may find no place in one look before the rest wait for the next: bounds CPU
 TICK = 0.02  # s between two looks at what waits: small beside any latency target
 HOLD = 0.4  # share of the pin limit for which a state waits for a writer with room
 TRY_SHARE = 0.5  # share of the time left that a dispatch which may be repeated may take: leaves one more
@@ -72,9 +72,7 @@
 QUOTA_BURST = 2.0  # s of its share that a member may send at once
 
 
-class Fit:
-    """Least squares, older answers fading; no slope is negative, so more work never looks faster."""
-
+class Fit:  # least squares, older answers fading; no slope is negative, so more work never looks faster
     def __init__(self, width: int) -> None:
         self.answers = 0
         self.square = [[0.0] * width for _ in range(width)]
@@ -85,7 +83,7 @@
     def add(self, features: Sequence[float], seconds: float, now: float) -> None:
         self.last = now
         if self.answers >= START_ANSWERS:
-            seconds = min(seconds, OUTLIER * max(self.time(features), FLOOR))
+            seconds = min(seconds, OUTLIER * max(self.time(features), TICK))
         self.answers += 1
         for i, x in enumerate(features):
             self.moment[i] = self.moment[i] * FADE + x * seconds
@@ -114,10 +112,9 @@
 
 
 def remember(table: dict[str, Any], key: str, value: object) -> None:
-    table.pop(key, None)
+    if len(table) >= KEPT_MOST:
+        table.clear()
     table[key] = value
-    if len(table) > KEPT_MOST:
-        del table[next(iter(table))]
 
 
 class Engine:
@@ -126,8 +123,7 @@
         self.health = Health.ON
         self.begin(started)
 
-    def begin(self, started: float) -> None:
-        """A new process has nothing of what its predecessor kept or did."""
+    def begin(self, started: float) -> None:  # a new process has nothing of the old one's
         self.started, self.aside_until = started, 0.0
         self.out: list[Dispatch] = []
         self.keeps: dict[str, int] = {}
@@ -149,7 +145,6 @@
         return sum(d.tokens for d in self.out)
 
     def kept(self, completion: "Completion") -> int:
-        """Tokens of the prompt that we believe it holds in cache."""
         shared = completion.shared_tokens if completion.shared in self.keeps else 0
         return min(max(shared, self.keeps.get(completion.session, 0)), completion.prompt)
 
@@ -160,7 +155,6 @@
                 remember(self.keeps, key, tokens)
 
     def contexts(self, now: float) -> float:
-        """The reported memory share where there is one, else our own streams."""
         if "memory" in self.load and now - self.load_at < REPORT_LIFE:
             return self.load["memory"] * self.kind.memory
         return sum(d.tokens for d in self.out if d.streaming > 0)
@@ -180,7 +174,6 @@
         return weight * self.streamed > PACE * (weight * self.hinted + PACE_DOUBT)
 
     def has_room(self, completion: "Completion", now: float, fronts: int, tightest: float) -> bool:
-        """Memory, slots, a queue and refusals each close a writer, so that states don't pile up behind it."""
         tokens = completion.prompt + completion.answer
         load = self.load if now - self.load_at < REPORT_LIFE else {}
         if now < self.full_until or self.backed_up(now, tightest) or self.crawls(now) or (
@@ -237,13 +230,15 @@
         self.dispatches: list[Dispatch] = []
         self.out: Dispatch | None = None
         self.state: Engine | None = None  # the reader where its state waits
-        self.held_since, self.over = 0.0, False
+        self.held_since, self.over, self.stuck = 0.0, False, False
 
     @property
     def settled(self) -> bool:
         return self.over and self.out is None
 
     def first_token(self, seq: int, latency: float) -> None:
+        if seq >= len(self.dispatches) or self.dispatches[seq].verdict:
+            return
         now, dispatch = self.router.clock.now, self.dispatches[seq]
         dispatch.streaming = now
         if dispatch.local:  # the stream's end would tell the cached tokens, but comes seconds late
@@ -254,8 +249,9 @@
     def ended(
         self, seq: int, verdict: Verdict, latency: float, closed: bool, detail: int, load: Mapping[str, float]
     ) -> None:
-        now, dispatch = self.router.clock.now, self.dispatches[seq]
-        engine = dispatch.engine
+        if seq >= len(self.dispatches) or self.dispatches[seq].verdict:
+            return  # never sent, or told before
+        now, dispatch, engine = self.router.clock.now, self.dispatches[seq], self.dispatches[seq].engine
         dispatch.verdict = verdict
         engine.out = [d for d in engine.out if d is not dispatch]
         if load:
@@ -263,7 +259,7 @@
         self.over = self.over or closed
         if self.out is dispatch:
             self.out = None
-        self.held_since = now
+        self.held_since, self.stuck = now, False  # looked at at once: a final answer may be due
         learnt = verdict is Verdict.READ or (verdict is Verdict.FINISHED and dispatch.local)
         if learnt and not detail and dispatch.new < self.prompt:
             engine.keeps.clear()  # it lost what it kept, all at once as a rule
@@ -295,18 +291,15 @@
         elif self.router.may_cancel and not self.out.streaming:
             self.door.cancel(self.out.seq)
 
-    def let_go(self) -> None:
-        """Nothing stays pinned: neither an answer nor a client's leaving frees a state by itself."""
+    def let_go(self) -> None:  # nothing stays pinned: neither an answer nor a client's leaving frees a state
         if self.state:
             self.door.release()
             self.state = None
 
-    def risky(self) -> list[Dispatch]:
-        """Dispatches that may have had an effect."""
+    def risky(self) -> list[Dispatch]:  # those that may have had an effect
         return [d for d in self.dispatches if not d.reading and d.verdict not in NEVER_RAN]
 
-    def may_go_to(self, engine: Engine, now: float) -> bool:
-        """No effect twice."""
+    def may_go_to(self, engine: Engine, now: float) -> bool:  # no effect twice
         risky = self.risky()
         if not risky or engine.kind.role is Role.READER or self.workload.effect is Effect.IDEMPOTENT:
             return True
@@ -338,9 +331,8 @@
         try_limit: int, pin_limit: float, may_cancel: bool, may_delay_retries: bool, longest_retry: float,
         warm_after: float, cold_from: float, cold_multiple: float, cold_window: float, subscribe: bool,
     ) -> None:
-        self.clock, self.door = clock, door
+        self.clock, self.door, self.random = clock, door, random.Random(seed)
         self.kinds, self.workloads, self.members = kinds, workloads, members
-        self.random = random.Random(seed)
         self.tightest = min(w.latency_target for w in workloads)
         self.number, self.fronts, self.zone = number, max(1, fronts), zone
         self.try_limit, self.pin_limit, self.may_cancel = try_limit, pin_limit, may_cancel
@@ -352,7 +344,8 @@
         self.read_fit, self.mixed_fit = Fit(2), Fit(3)
         self.last_mixed: dict[str, Engine] = {}
         self.waiting: list[Completion] = []
-        self.asleep, self.crowded = True, False
+        self.asleep, self.crowded, self.looked = True, False, 0.0  # looked: when last at what found no place
+        self.cache: dict[tuple[Role, ...], list[Engine]] = {}  # usable engines, for one look
         self.paid_until = [0.0] * len(members)  # when the share used so far is earned
         if subscribe:
             door.subscribe()
@@ -411,18 +404,22 @@
         no room at the last look, what has waited too long for its latency target makes way for those that
         can still meet theirs. Where none works, waiting costs nobody anything."""
         now, stuck = self.clock.now, set[str]()  # beginnings that nothing takes now
+        self.cache.clear()
         crowded = self.crowded and bool(self.usable(Role.READER, Role.MIXED))
         here = [c for c in self.waiting if not c.over]
+        again = now - self.looked >= TICK  # what found no place is looked at once a tick: saves CPU
+        self.looked, self.waiting = now if again else self.looked, [c for c in here if c.stuck and not again]
+        here = [c for c in here if again or not c.stuck]
         queue = sorted(here, key=lambda c: (c.state is None, c.spare, c.late_at))
-        self.waiting = []
         for completion in queue:
             fresh = not completion.state and not completion.risky()
             if completion.hopeless(now) or (crowded and fresh and now >= completion.late_at):
                 completion.give_up()
-            elif (fresh and completion.key in stuck) or not self.placed(completion):
+            elif (fresh and (completion.key in stuck or len(stuck) >= LOOKS)) or not self.placed(completion):
                 self.waiting.append(completion)
+                completion.stuck = fresh
                 stuck.update([completion.key] * fresh)
-        self.crowded = bool(stuck)
+        self.crowded = any(c.stuck for c in self.waiting)
         if self.waiting and self.asleep:
             self.asleep = False
             self.door.wake(TICK)
@@ -491,8 +488,7 @@
                 return min(able, key=lambda e: e.tokens)
         return None
 
-    def write(self, completion: Completion, now: float) -> bool:
-        """After the read: two from the reader's cell where it has room, else its zone, else anywhere."""
+    def write(self, completion: Completion, now: float) -> bool:  # two near the reader where it has room
         reader = completion.state
         assert reader
         able = [e for e in self.usable(Role.WRITER, Role.MIXED) if completion.may_go_to(e, now)]
@@ -520,10 +516,12 @@
 
     def usable(self, *roles: Role) -> list[Engine]:
         now = self.clock.now
-        return [
-            e for e in self.engines.values() if e.kind.role in roles and e.health is Health.ON
-            and now >= e.aside_until and not (e.trickle and len(e.unanswered) >= e.trickle)
-            and not e.overdue(now) and (not self.cold(e) or self.has_turn(e))]
+        if roles not in self.cache:
+            self.cache[roles] = [
+                e for e in self.engines.values() if e.kind.role in roles and e.health is Health.ON
+                and now >= e.aside_until and not (e.trickle and len(e.unanswered) >= e.trickle)
+                and not e.overdue(now) and (not self.cold(e) or self.has_turn(e))]
+        return self.cache[roles]
 
     def has_turn(self, engine: Engine) -> bool:
         """Guards against all fronts finding an empty, slow engine at once: in turns of the rule's own window,
@@ -542,6 +540,7 @@
 
     def send(self, completion: Completion, engine: Engine, reading: bool, timeout: float) -> None:
         now = self.clock.now
+        self.cache.clear()
         dispatch = Dispatch(completion, engine, reading, now)
         if dispatch.local:
             engine.keep(completion)
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -66,3 +66,10 @@
     job = {"jobIn": JOB["jobIn"] | {"type": 5}}
     run = drill([json.dumps({"clockNs": SECOND, "msgs": [*START, job]})])
     assert "IndexError" in json.loads(run.stdout)["output"][0]["exception"]["text"]
+
+
+def test_news_of_what_was_never_sent_is_ignored() -> None:
+    first = {"ackFirst": {"who": 3, "id": "a0", "seqNo": 9}}
+    batches = [START, [JOB], [end("READ", 7), first, end("READ", 0)]]
+    run = drill([json.dumps({"clockNs": (i + 1) * SECOND // 10, "msgs": m}) for i, m in enumerate(batches)])
+    assert [names(line) for line in run.stdout.splitlines()] == [[], ["relay 7"], ["relay 8"]]
