--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -9,7 +9,7 @@
 1. trickle: an engine set aside, or just started, gets one dispatch, then twice as many while it goes well
 2. turns: fronts take turns at a cold engine by their own number, each within a budget of sends
 3. overdue: an engine with an old dispatch and no answer since is passed over until it answers
-4. room: memory, slots and refusals seen tell which writers can take one more now
+4. room: memory, refusals, slow answers and slow streams tell who can take one more; the rest waits
 5. further dispatches: what may be sent again, rate-limited or only aborted, and letting go of what is held
 6. shares: a member beyond its share waits behind the others
 """
