--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -57,7 +57,7 @@
 FEW = 0.5  # share of all engines that may fail at once before it is held for no engine's own fault
 FAILURES_MOST = 9.0  # failures remembered: beyond these the longest time aside is reached anyway
 TRICKLE_DONE = 16  # dispatches at once from which a trickle is over
-COLD_PART = 0.8  # of the rule's own budget at the coldest, against warm engines' mean: the rest is chance
+COLD_PART = 1.2  # of the rule's own budget at the coldest, against warm engines' mean: the rest is chance
 PATIENCE = 1.0  # s without an answer, on top of the usual time, before a dispatch is overdue
 USUAL = 3.0  # times the usual latency that an answer may take before it is overdue
 
