A failed call for the list is made again after a while; wake-ups need no event of their own

Cause: where the list must be asked for, a failed subscription was asked for again in the same batch, which adds to what the list service lacks. It now waits half a second to a second.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -57,7 +57,7 @@
 FEW = 0.5  # share of all engines that may fail at once before it is held for no engine's own fault
 FAILURES_MOST = 9.0  # failures remembered: beyond these the longest time aside is reached anyway
 TRICKLE_DONE = 16  # dispatches at once from which a trickle is over
-COLD_PART = 1.2  # of the rule's own budget at the coldest, against warm engines' mean: the rest is chance
+COLD_PART = 0.8  # of the rule's own budget at the coldest, against warm engines' mean: the rest is chance
 PATIENCE = 1.0  # s without an answer, on top of the usual time, before a dispatch is overdue
 USUAL = 3.0  # times the usual latency that an answer may take before it is overdue
 
@@ -67,7 +67,7 @@
 TRY_SHARE = 0.5  # share of the time left that a dispatch which may be repeated may take: leaves one more
 WAIT_SHARE = 0.5  # share of the latency target that may be spent waiting; the rest is for reading and writing
 LAST_CALL = 0.15  # s before the client timeout at which what waits is given up: a short read's time
-RETRY_AFTER = 0.5  # s that a rate-limited client should stay away: about what a full engine takes to clear
+RETRY_AFTER = 0.5  # s that a rate-limited client, or we after a failed call for the list, should stay away
 KEPT_MOST = 4096  # texts remembered per engine and sessions per instance: bounds memory
 QUOTA_BURST = 2.0  # s of its share that a member may send at once
 
@@ -338,17 +338,15 @@
         self.try_limit, self.pin_limit, self.may_cancel = try_limit, pin_limit, may_cancel
         self.retry_after = min(RETRY_AFTER, longest_retry) if may_delay_retries else 0.0
         self.warm_after, self.cold_window = warm_after, cold_window
-        self.cold_share = COLD_PART * cold_from * cold_multiple
+        self.cold_share = COLD_PART * cold_from * cold_multiple  # of what a warm engine gets
         self.engines: dict[int, Engine] = {}
         self.listed: dict[int, None] = {}
         self.read_fit, self.mixed_fit = Fit(2), Fit(3)
         self.last_mixed: dict[str, Engine] = {}
         self.waiting: list[Completion] = []
-        self.asleep, self.crowded, self.looked = True, False, 0.0  # looked: when last at what found no place
+        self.crowded, self.wake_at, self.looked, self.ask_at = False, 0.0, 0.0, clock.now * subscribe
         self.cache: dict[tuple[Role, ...], list[Engine]] = {}  # usable engines, for one look
         self.paid_until = [0.0] * len(members)  # when the share used so far is earned
-        if subscribe:
-            door.subscribe()
 
     def list_begins(self, complete: bool) -> None:
         self.listed = {} if complete else dict.fromkeys(self.engines)
@@ -374,7 +372,8 @@
                 del self.engines[number]
 
     def list_failed(self) -> None:
-        self.door.subscribe()  # the list held stays valid
+        self.ask_at = self.clock.now + RETRY_AFTER * (1.0 + self.random.random())  # the list held stays valid
+        self.door.wake(self.ask_at - self.clock.now + TICK)
 
     def take(
         self, door: CompletionDoor, workload: int, member: int, session: str, shared: str, prompt: int,
@@ -396,15 +395,15 @@
         self.paid_until[member] = max(self.paid_until[member], now) + step * (not spare)
         return spare
 
-    def woken(self) -> None:
-        self.asleep = True
-
     def decide(self) -> None:
         """The next step of all with no dispatch out; what can't be placed waits. While engines work but had
         no room at the last look, what has waited too long for its latency target makes way for those that
         can still meet theirs. Where none works, waiting costs nobody anything."""
         now, stuck = self.clock.now, set[str]()  # beginnings that nothing takes now
         self.cache.clear()
+        if 0 < self.ask_at <= now:
+            self.ask_at = 0.0
+            self.door.subscribe()
         crowded = self.crowded and bool(self.usable(Role.READER, Role.MIXED))
         here = [c for c in self.waiting if not c.over]
         again = now - self.looked >= TICK  # what found no place is looked at once a tick: saves CPU
@@ -420,8 +419,8 @@
                 completion.stuck = fresh
                 stuck.update([completion.key] * fresh)
         self.crowded = any(c.stuck for c in self.waiting)
-        if self.waiting and self.asleep:
-            self.asleep = False
+        if self.waiting and now >= self.wake_at:
+            self.wake_at = now + TICK / 2
             self.door.wake(TICK)
 
     def placed(self, completion: Completion) -> bool:
--- a/heathford/drill/wire.py
+++ b/heathford/drill/wire.py
@@ -177,8 +177,6 @@
             self.guarded(who, name, lambda: front.job_in(event))
         elif name in ("ackFirst", "attemptEnd", "dropped"):
             self.guarded(who, name, lambda: front.on_handle(name, event))
-        elif name == "alarm":
-            front.router.woken()
 
     def start(self, who: int, event: dict[str, Any]) -> None:
         self.fronts[who] = Front(who, self.clock, self.output, event)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -56,7 +56,6 @@
         end = self.now + seconds
         while self.now < end:
             self.now += 0.02
-            self.router.woken()
             self.router.decide()
 
     def asked(self) -> list[tuple[Any, ...]]:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -328,3 +328,13 @@
     b.router.decide()
     b.end(c, Verdict.TIMED_OUT, after=0.005)  # right after a look, near the client timeout
     assert b.asked() == [("send", 14), ("rate_limit",)]
+
+
+def test_a_failed_subscription_is_asked_for_again_after_a_while(bench: New) -> None:
+    b = bench(subscribe=True)
+    b.router.decide()
+    b.router.list_failed()
+    b.router.decide()
+    assert b.asked() == [("subscribe",)]  # the first, at the start
+    b.wait(1.6)
+    assert b.asked() == [("subscribe",)]
