--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -11,7 +11,7 @@
 3. rests: an engine that is slow, silent or turns work away rests, longer each time in a row
 4. room: reported memory, slots and queue tell who can take one more; the rest waits
 5. further dispatches: what may be sent again, rate-limited or only aborted, and letting go of what is held
-6. admission: little more is let in than is answered in time; a member beyond its share waits behind
+6. admission: little more is let in than is answered in time; what can hardly be any more makes way
 """
 
 import random
@@ -24,8 +24,7 @@
 from typing import Any
 
 from heathford.interface import (
-    NEVER_RAN, Clock, CompletionDoor, Effect, Group, Health, InstanceDoor, Kind, Member, Role, Verdict,
-    Workload,
+    NEVER_RAN, Clock, CompletionDoor, Effect, Group, Health, InstanceDoor, Kind, Role, Verdict, Workload,
 )
 
 CANDIDATES = 512  # cuts tried
@@ -44,9 +43,13 @@
 SLOTS_USED = 0.97  # reported share of slots in use from which a new answer would queue
 REPORT_LIFE = 1.5  # s that a load report counts: several report periods
 BACKLOG = 0.4  # share of the latency target that an answer may take before an engine counts as backed up
+PACE = 0.8  # of the time wanted for their tokens: streams slower than this leave no room for one more
+PACE_DOUBT = 5.0  # s of streams on pace presumed, so that a first few with bad hints don't count
+PACE_FADE = 0.9  # weight kept per stream: ten streams count, as hints are off by their own size
 REST = 0.25  # s of rest after an engine turned work away or was slow: a few answers end in that time
 REST_MOST = 8.0  # s: with a hundred fronts this is what leaves an engine with its own capacity
 AT_ONCE = 0.05  # share of the latency target in which a full queue says so; a limit on some work takes longer
+PER_ROOM = 2  # our reads, not yet taken, for each writer with room: one going there, one being read
 
 ASIDE = 0.5  # s set aside after the first failure: shorter than the shortest latency target seen as usual
 LIMITED = 4.0  # s of rest for an origin that an engine limits: a limit does not drain as a queue does
@@ -60,13 +63,12 @@
 TICK = 0.05  # s between two looks at what waits: small beside any latency target
 HOLD = 0.4  # share of the pin limit for which a state waits for a writer with room
 TRY_SHARE = 0.5  # share of the time left that a dispatch which may be repeated may take: leaves one more
-WAIT_SHARE = 0.5  # share of the latency target that may be spent waiting; the rest is for reading and writing
+READS = 2.0  # times its predicted reading that a completion needs before its target: to read and to write
 LAST_CALL = 0.15  # s before the client timeout at which what waits is given up: a short read's time
 RETRY_AFTER = 0.5  # s that a rate-limited client, or we after a failed call for the list, should stay away
 KEPT_MOST = 4096  # texts remembered per engine and sessions per instance: bounds memory
 ADMIT = 1.5  # times what was answered in time that is let in: a third may miss before any is turned away
 DOUBT = 4.0  # completions that may miss before any is turned away: a few prove nothing
-QUOTA_BURST = 2.0  # s of its share that a member may send at once
 
 
 class Fit:  # least squares, older answers fading; no slope is negative, so more work never looks faster
@@ -130,6 +132,7 @@
         self.load_at = self.answered = -1e9
         self.rests: dict[object, tuple[float, float]] = {}  # by origin or None for all: until when, how long
         self.failures = 0.0  # in a row
+        self.streamed = self.hinted = self.streamed_at = 0.0  # s that streams took lately, and should have
         self.trickle = 0  # dispatches at once, while it comes back
 
     @property
@@ -157,18 +160,24 @@
 
     def rest(self, origin: object, sent: float, now: float, least: float = REST) -> None:
         """Guards against queues that nobody reports and engines that turn work away: a rest twice as long for
-        each answer in a row that was sent after the last rest began, so that fronts that see little of an
-        engine leave it, together, what it can do; half as long after each good answer. Where only some work
-        is turned away, only work of that origin rests. Long prompts could mislead it."""
+        each answer in a row to what was sent after the last began, half as long after a good one, so that
+        fronts that see little of an engine leave it, together, what it can do. Long prompts mislead it."""
         until, length = self.rests.get(origin, (0.0, 0.0))
         if sent >= until - length:
             length = min(max(2 * length, least), REST_MOST)
             self.rests[origin] = now + length, length
 
     def closed(self, origin: object, now: float, tightest: float) -> bool:
-        """Besides its rests: an engine that lets one of ours wait gets no more meanwhile."""
+        """Besides its rests: none beside one of ours that waits long, or at all where it rested of late."""
         rests = any(now < self.rests[o][0] for o in (None, origin) if o in self.rests)
-        return rests or any(now - d.sent > BACKLOG * tightest for d in self.unanswered[:1])
+        rested = self.rests.get(None, (0.0, 0.0))[1] > TICK and not self.trickle
+        patience = 0.0 if rested else BACKLOG * tightest
+        return rests or any(now - d.sent >= patience for d in self.unanswered[:1])
+
+    def crawls(self, now: float) -> bool:
+        """Guards against slow streams, as beside too many reads. Rough hints could mislead it."""
+        weight = exp2((self.streamed_at - now) / STALE)
+        return weight * self.streamed > PACE * (weight * self.hinted + PACE_DOUBT)
 
     def went_well(self, latency: float, target: float, now: float) -> None:
         self.answered, self.failures = now, 0.0
@@ -215,13 +224,14 @@
 class Completion:
     def __init__(
         self, router: "Router", door: CompletionDoor, workload: Workload, session: str, shared: str,
-        prompt: int, shared_tokens: int, answer: float, due: float, spare: bool, origin: object, now: float,
+        prompt: int, shared_tokens: int, answer: float, due: float, origin: object, now: float,
     ) -> None:
         self.router, self.door, self.workload = router, door, workload
         self.session, self.shared, self.prompt, self.shared_tokens = session, shared, prompt, shared_tokens
-        self.answer, self.due, self.spare, self.key = answer, due, spare, shared or session
+        self.answer, self.due, self.key = answer, due, shared or session
         self.target, self.origin = workload.latency_target + workload.target_per_1000 * prompt / 1000, origin
-        self.late_at, self.target_at = now + WAIT_SHARE * self.target, now + self.target
+        self.target_at = now + self.target
+        self.late_at = self.target_at - READS * router.read_fit.time(read_features(prompt))
         self.counts = due >= self.target_at  # a client with less time than the target says nothing of engines
         self.dispatches: list[Dispatch] = []
         self.out: Dispatch | None = None
@@ -257,14 +267,17 @@
         if self.out is dispatch:
             self.out = None
         self.held_since, self.stuck = now, False  # looked at at once: a final answer may be due
-        learnt = verdict is Verdict.READ or (verdict is Verdict.FINISHED and dispatch.local)
-        if learnt and not detail and dispatch.new < self.prompt:
+        read = verdict is Verdict.READ or (verdict is Verdict.FINISHED and dispatch.local)
+        if read and not detail and dispatch.new < self.prompt:
             engine.keeps.clear()  # it lost what it kept, all at once as a rule
         if verdict is Verdict.READ:
             engine.went_well(latency, self.target, now)
             self.router.read_fit.add(read_features(self.prompt - detail), latency, now)
             engine.keep(self)
             self.state = engine
+        elif verdict is Verdict.FINISHED:
+            engine.streamed, engine.streamed_at = engine.streamed * PACE_FADE + now - dispatch.streaming, now
+            engine.hinted = engine.hinted * PACE_FADE + self.answer * self.workload.token_target
         elif verdict is Verdict.FULL and detail:
             self.let_go()  # gone, or out of the writer's reach and still pinned: read again
         elif verdict is Verdict.FULL:
@@ -305,8 +318,8 @@
             or (group is Group.ZONE and d.engine.zone == engine.zone) for d in risky)
 
     def hopeless(self, now: float) -> bool:
-        spoilt = self.risky() and self.workload.effect is Effect.NON_IDEMPOTENT
-        return bool(spoilt) or len(self.dispatches) >= self.router.try_limit or now >= self.due - LAST_CALL
+        spent = len(self.dispatches) >= self.router.try_limit or now >= self.due - LAST_CALL
+        return spent or (self.workload.effect is Effect.NON_IDEMPOTENT and bool(self.risky()))
 
     def give_up(self) -> None:
         self.let_go()
@@ -321,12 +334,12 @@
 class Router:
     def __init__(
         self, clock: Clock, door: InstanceDoor, seed: int, kinds: Sequence[Kind],
-        workloads: Sequence[Workload], members: Sequence[Member], number: int, fronts: int, zone: int,
+        workloads: Sequence[Workload], number: int, fronts: int, zone: int,
         try_limit: int, pin_limit: float, may_cancel: bool, may_delay_retries: bool, longest_retry: float,
         warm_after: float, cold_from: float, cold_multiple: float, cold_window: float, subscribe: bool,
     ) -> None:
         self.clock, self.door, self.random = clock, door, random.Random(seed)
-        self.kinds, self.workloads, self.members = kinds, workloads, members
+        self.kinds, self.workloads = kinds, workloads
         self.tightest = min(w.latency_target for w in workloads)
         self.number, self.fronts, self.zone = number, max(1, fronts), zone
         self.try_limit, self.pin_limit, self.may_cancel = try_limit, pin_limit, may_cancel
@@ -341,7 +354,6 @@
         self.waiting: list[Completion] = []
         self.lately: deque[tuple[float, Engine]] = deque(maxlen=KEPT_MOST)  # our sends
         self.wake_at, self.looked, self.ask_at = 0.0, 0.0, clock.now * subscribe
-        self.paid_until = [0.0] * len(members)  # when the share used so far is earned
         self.asked = self.good = self.counted_at = 0.0  # completions lately, and those answered in time
 
     def list_begins(self, complete: bool) -> None:
@@ -380,50 +392,39 @@
         self, door: CompletionDoor, workload: int, member: int, session: str, shared: str, prompt: int,
         shared_tokens: int, longest: int, answer_hint: float, due: float,
     ) -> Completion:
-        kind = self.workloads[workload]
+        now, kind = self.clock.now, self.workloads[workload]
         answer = min(longest, answer_hint / kind.token_target if answer_hint else longest / 2)
-        spare = self.beyond_share(member)
-        completion = Completion(
-            self, door, kind, session, shared, prompt, shared_tokens, answer, due, spare,
-            (workload, member), self.clock.now)
-        kept = exp2((self.counted_at - self.clock.now) / STALE)
-        self.counted_at = self.clock.now
+        completion = Completion(self, door, kind, session, shared, prompt, shared_tokens, answer, due,
+                                (workload, member), now)
+        kept, self.counted_at = exp2((self.counted_at - now) / STALE), now
         self.asked, self.good = self.asked * kept + completion.counts, self.good * kept
         if self.random.random() * self.asked > ADMIT * self.good + DOUBT:
-            completion.late_at = self.clock.now
+            completion.late_at = now
         self.waiting.append(completion)
         return completion
 
     @property
     def jammed(self) -> bool:
-        """Guards against queues in which all becomes late, kept up by clients that come again: a front
-        lets in little more than is answered in time, and what is late is not read anew. All fronts together
-        then let in what engines can do, however little each sees. Could harm where more than a third misses
-        its target through no lack of room."""
+        """Guards against queues in which all becomes late, kept up by clients that come again: all fronts
+        together let in little more than is answered in time, however little each sees. Could harm where more
+        than a third misses its target through no lack of room."""
         return self.asked > ADMIT * self.good + DOUBT
 
-    def beyond_share(self, member: int) -> bool:
-        if member >= len(self.members):
-            return False
-        now, step = self.clock.now, self.fronts / max(self.members[member].per_second, 1e-9)
-        spare = self.paid_until[member] >= now + QUOTA_BURST
-        self.paid_until[member] = max(self.paid_until[member], now) + step * (not spare)
-        return spare
-
     def decide(self) -> None:
         """The next step of all with no dispatch out; what can't be placed waits and is looked at once a tick.
-        What has waited too long for its latency target makes way, in a jam, for what can still meet it."""
+        While others wait, or in a jam, what can hardly meet its target makes way for what can."""
         now, jammed = self.clock.now, self.jammed
         if 0 < self.ask_at <= now:
             self.ask_at = 0.0
             self.door.subscribe()
         again = now - self.looked >= TICK
+        crowded = jammed or any(c.stuck for c in self.waiting)
         here = [c for c in self.waiting if not c.over and (again or not c.stuck)]
         self.looked = now if again else self.looked
         self.waiting = [c for c in self.waiting if c.stuck and not again and not c.over]
-        for completion in sorted(here, key=lambda c: (c.state is None, c.spare, c.late_at)):
+        for completion in sorted(here, key=lambda c: (c.state is None, c.late_at)):
             fresh = not completion.state and not completion.risky()
-            if completion.hopeless(now) or (fresh and jammed and now >= completion.late_at):
+            if completion.hopeless(now) or (fresh and crowded and now >= completion.late_at):
                 completion.give_up()
             elif not self.placed(completion):
                 self.waiting.append(completion)
@@ -464,7 +465,8 @@
     def pick_reader(self, completion: Completion) -> Engine | None:
         """Guards against states piling up before full writers, the strain of the memory fallback: no read
         starts while no writer has room for it."""
-        if not any(self.usable(e) and self.has_room(e, completion) for e in self.writers):
+        roomy = sum(self.usable(e) and self.has_room(e, completion) for e in self.writers)
+        if sum(len(e.out) for e in self.pools[Role.READER]) >= PER_ROOM * roomy:
             return None
         now = self.clock.now
         return self.hashed_pair(
@@ -480,9 +482,8 @@
 
     def hashed_pair(self, completion: Completion, role: Role, is_open: Test) -> Engine | None:
         """Two drawn by hashing the shared beginning, else the session, in the own zone; with both closed, two
-        of all. Drawn from open ones only, a session would move under load and be read anew each time. Where
-        neither holds more of our tokens, as mostly with many fronts, the session's own hash says which comes
-        first: all fronts then send it where its earlier turns are, and a busy beginning is shared by two."""
+        of all. Drawn from open ones only, a session would move under load and be read anew each time. If
+        neither holds more of our tokens, the session's hash chooses, at all fronts alike."""
         seeds = (1, 2) if blake2b(completion.session.encode()).digest()[0] % 2 else (2, 1)
         for ring in self.rings[role]:
             drawn = [ring.draw(f"{seed}:{completion.key}", self.usable) for seed in seeds]
@@ -493,7 +494,7 @@
 
     def has_room(self, engine: Engine, completion: Completion) -> bool:
         now, load = self.clock.now, engine.load if self.clock.now - engine.load_at < REPORT_LIFE else {}
-        if engine.closed(completion.origin, now, self.tightest) or (
+        if engine.closed(completion.origin, now, self.tightest) or engine.crawls(now) or (
                 load.get("queue", 0.0) >= 1.0 or load.get("slots", 0.0) >= SLOTS_USED):
             return False
         since = sum(d.tokens for d in engine.out if d.sent > engine.load_at or "memory" not in load)
@@ -526,9 +527,9 @@
         return free and (not self.cold(engine) or self.has_turn(engine))
 
     def has_turn(self, engine: Engine) -> bool:
-        """Guards against all fronts finding an empty, slow engine at once: they share the rule's own budget,
-        a part of what an engine of its role gets from all fronts in the rule's window. As many fronts as that
-        is sends have a turn together, one after the other by number; few fronts all have one."""
+        """Guards against all fronts finding an empty, slow engine at once: they share a budget in the rule's
+        window, a part of what an engine of its role gets from all. As many fronts as that is sends have a
+        turn together, by their numbers; few fronts all have one."""
         now, pool = self.clock.now, self.pools[engine.kind.role]
         while self.lately and self.lately[0][0] < now - self.cold_window:
             self.lately.popleft()
--- a/heathford/interface.py
+++ b/heathford/interface.py
@@ -68,11 +68,6 @@
     value: float
 
 
-@dataclass(frozen=True)
-class Member:
-    per_second: float  # completions in its share, all fronts together
-
-
 @dataclass(frozen=True)
 class Kind:
     role: Role
