--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -529,9 +529,9 @@
         return free and (not self.cold(engine) or self.has_turn(engine))
 
     def has_turn(self, engine: Engine) -> bool:
-        """Guards against all fronts finding an empty, slow engine at once: they share a budget, a
-        part of what engines of its role answer to all in the rule's window (sends exceed that in a jam). As many
-        fronts as a turn has sends have it together, by number. Could harm by using too little of it."""
+        """Guards against all fronts finding an empty, slow engine at once: they share a budget, part of what
+        engines of its role answer to all in the rule's window; sends exceed that in a jam. As many fronts as
+        a turn has sends have it together, by number. Could harm by using too little of the engine."""
         now, pool = self.clock.now, self.pools[engine.kind.role]
         while self.answers and self.answers[0][0] < now - self.cold_window:
             self.answers.popleft()
