--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -234,7 +234,7 @@
         self.answer, self.due, self.key = answer, due, shared or session
         self.target, self.origin = workload.latency_target + workload.target_per_1000 * prompt / 1000, origin
         self.target_at = now + self.target
-        self.late_at = self.target_at - READS * router.read_fit.time(read_features(prompt))
+        self.late_at = self.target_at - READS * router.read_fit.aged(read_features(prompt), now)
         self.counts = due >= self.target_at  # a client with less time than the target says nothing of engines
         self.dispatches: list[Dispatch] = []
         self.out: Dispatch | None = None
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -358,3 +358,18 @@
     assert b.asked() == [("subscribe",)]  # the first, at the start
     b.wait(1.6)
     assert b.asked() == [("subscribe",)]
+
+
+def test_a_front_that_let_in_nothing_after_a_jam_tries_again(bench: New) -> None:
+    b = bench()
+    b.engines((10, 0), (12, 1))
+    for _ in range(60):
+        b.router.read_fit.add(read_features(5000), 2.0, b.now)
+    asked = []
+    for _ in range(2):
+        b.router.asked, b.router.counted_at = 6.0, b.now
+        c = b.take()
+        asked += b.asked()
+        c.left()
+        b.now += 20.0
+    assert asked == [("rate_limit",), ("send", 10)]
