--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -443,10 +443,10 @@
         mixed, reader = self.pick_mixed(completion), self.pick_reader(completion) if tries > 1 else None
         local = mixed is not None and self.has_room(mixed, completion)
         if mixed and local and not (reader and self.reader_reads(completion, reader, mixed)):
-            self.send(completion, mixed, False, completion.due - now)
+            self.send(completion, mixed, False)
             return True
         if reader:
-            self.send(completion, reader, True, (1.0 if self.jammed else TRY_SHARE) * (completion.due - now))
+            self.send(completion, reader, True)
         return bool(reader)
 
     def reader_reads(self, completion: Completion, reader: Engine, mixed: Engine) -> bool:
@@ -505,7 +505,6 @@
             MEMORY_USED - load.get("memory", 0.0)) * engine.kind.memory
 
     def write(self, completion: Completion, reader: Engine, now: float) -> bool:  # two near the reader
-        left = completion.due - now
         able = [e for e in self.writers if self.usable(e) and completion.may_go_to(e, now)]
         near = [e for e in able if e.zone == reader.zone]
         pools = [e for e in near if e.cell == reader.cell], near, able
@@ -515,8 +514,7 @@
             fit = [e for e in able if not e.closed(completion.origin, now, self.tightest)] or able
         if fit:
             pair = self.random.sample(fit, 2) if len(fit) > 2 else fit
-            left *= 1.0 if completion.workload.effect is Effect.NON_IDEMPOTENT else TRY_SHARE
-            self.send(completion, min(pair, key=lambda e: e.tokens / max(e.size, 1e-3)), False, left)
+            self.send(completion, min(pair, key=lambda e: e.tokens / max(e.size, 1e-3)), False)
         elif waited:  # it is read anew once a writer can be had
             completion.let_go()
         return bool(fit)
@@ -541,7 +539,7 @@
         turn = int(TURNS * (now - engine.started) / self.cold_window)
         return (self.number - turn * together) % self.fronts < together and ours < max(1, budget // together)
 
-    def send(self, completion: Completion, engine: Engine, reading: bool, timeout: float) -> None:
+    def send(self, completion: Completion, engine: Engine, reading: bool) -> None:
         now = self.clock.now
         dispatch = Dispatch(completion, engine, reading, now)
         if dispatch.local:
@@ -550,4 +548,6 @@
         completion.dispatches.append(dispatch)
         completion.out = dispatch
         engine.out.append(dispatch)
-        completion.door.send(engine.number, timeout)
+        once = dispatch.local or (not reading and completion.workload.effect is Effect.NON_IDEMPOTENT)
+        share = 1.0 if once or self.jammed else TRY_SHARE  # in a jam a second try is more work, and later
+        completion.door.send(engine.number, share * (completion.due - now))
