--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -185,7 +185,7 @@
         self.answered, self.failures = now, 0.0
         answers.append((now, self))
         if latency > BACKLOG * target:
-            self.rest(None, now - latency, now)
+            self.rest(None, now - latency, now, latency)  # as long as the queue, at least
         else:
             self.rests = {origin: (until, length / 2) for origin, (until, length) in self.rests.items()}
         if self.trickle:  # one more for each good answer: twice as many in each round
