--- a/heathford/cli/complete.py
+++ b/heathford/cli/complete.py
@@ -1,42 +1,53 @@
-"""Asks for one completion over a session and shows it as it comes."""
+"""Asks for one completion by either protocol and shows it as it comes."""
 
+import ssl
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
-import orjson
-from tornado.websocket import websocket_connect
+from heathford.client import BadRequest, HttpClient, WebSocketClient
+from heathford.client.answers import CompletionError
+from heathford.client.base import Client
+from heathford.terminal.board import told
+from heathford.tls.files import PROTOCOLS
+
+
+def client_of(urls: list[str], member: str, authority: Path | None, retry_share: float) -> Client:
+    """By the scheme of the addresses; raises ValueError where they name none or several protocols."""
+    tls = None
+    if authority:
+        tls = ssl.create_default_context(cafile=str(authority))
+        tls.set_alpn_protocols(PROTOCOLS)
+    schemes = sorted({url.partition("://")[0] for url in urls})
+    if set(schemes) <= {"ws", "wss"}:
+        return WebSocketClient(urls, member, retry_share, tls=tls)
+    if set(schemes) <= {"http", "https"}:
+        return HttpClient(urls, member, retry_share, tls=tls)
+    raise ValueError(f"addresses of {', '.join(schemes)}; allowed are ws and wss, or http and https")
 
 
 async def one(
-    url: str, model: str, prompt: str, max_tokens: int, timeout: float | None, show: Callable[..., None]
+    urls: list[str], model: str, prompt: str, max_tokens: int, timeout: float | None,
+    show: Callable[..., None], member: str = "", authority: Path | None = None, repeatable: bool = True,
+    retry_share: float = 0.2,
 ) -> int:
-    """The exit code: 0 finished, 1 rate-limited or aborted, 2 not to be asked."""
+    """The exit code: 0 finished, 1 rate-limited, aborted or no front, 2 not to be asked."""
     try:
-        socket = await websocket_connect(url, connect_timeout=5.0)
-    except Exception as problem:
-        show(f"can't connect to {url}: {problem}", err=True)
+        client = client_of(urls, member, authority, retry_share)
+    except (ValueError, OSError) as problem:
+        show(str(problem), err=True)
         return 2
-    params: dict[str, Any] = {"model": model, "prompt": prompt, "max_tokens": max_tokens}
-    if timeout is not None:
-        params["timeout"] = timeout
-    await socket.write_message(orjson.dumps(
-        {"jsonrpc": "2.0", "id": 1, "method": "completions.create", "params": params}).decode())
-    while True:
-        message = await socket.read_message()
-        if message is None:
-            show(f"the front closed the session: {socket.close_code}", err=True)
-            return 1
-        said = orjson.loads(message)
-        if said.get("method") == "completions.chunk":
-            show(said["params"]["choices"][0]["text"], nl=False)
-        elif "result" in said:
-            usage = said["result"]["usage"]
-            show(f"\n{said['result']['final']}: {usage.get('prompt_tokens')} prompt tokens, "
-                 f"{usage.get('completion_tokens')} answered")
-            return 0
-        elif "error" in said:
-            error = said["error"]
-            data = error.get("data") or {}
-            more = f", come back in {data['retry_after']:g} s" if "retry_after" in data else ""
-            show(f"{data.get('final', 'error')}: {error['message']}{more}", err=True)
-            return 1 if "final" in data else 2
+    more: dict[str, Any] = {} if timeout is None else {"timeout": timeout}
+    async with client:
+        stream = client.stream(model, prompt, max_tokens=max_tokens, repeatable=repeatable, **more)
+        try:
+            async for part in stream:
+                show(part, nl=False)
+            found = await stream.result()
+        except CompletionError as problem:
+            final, guidance = told(problem)
+            show(f"{chr(10) if problem.text else ''}{final}: {guidance} ({problem.tries} tries)", err=True)
+            return 2 if isinstance(problem, BadRequest) else 1
+        show(f"\nfinished: {found.usage.get('prompt_tokens')} prompt tokens, "
+             f"{found.usage.get('completion_tokens')} answered, {found.tries} tries")
+        return 0
--- a/heathford/cli/main.py
+++ b/heathford/cli/main.py
@@ -14,15 +14,20 @@
 from heathford.script.script import Script, ScriptError, read_script
 from heathford.script.words import WORDS, Word
 
+URLS = "A front's address: ws(s)://HOST:PORT/v1/sessions or http(s)://HOST:PORT; may be given again."
 SCRIPT = click.argument("script", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 
 
 def checked(path: Path, words: Mapping[str, Word] = WORDS) -> Script:
+    from heathford.tls.files import key_mistakes
     try:
-        return read_script(path, words)
+        script = read_script(path, words)
+        if words is WORDS and (wrong := key_mistakes(script)):
+            raise ScriptError(wrong)
     except ScriptError as problem:
         click.echo(str(problem), err=True)
         sys.exit(2)
+    return script
 
 
 @click.group()
@@ -104,20 +109,60 @@
         if ask is None:
             click.echo(orjson.dumps(ready, option=orjson.OPT_INDENT_2).decode())
             return None
-        return await one(ready["fronts"][0], ready["workloads"][0], ask, 64, None, click.echo)
+        trusted = checked(script).all("service_tls")
+        authority = script.parent / trusted[0].authority if trusted and trusted[0].authority else None
+        return await one(
+            ready["fronts"], ready["workloads"][0], ask, 64, None, click.echo, authority=authority)
     sys.exit(asyncio.run(run_up(checked(script), ready_file, once_ready)))
 
 
 @cli.command()
-@click.option("--url", required=True, help="A front's sessions, ws://HOST:PORT/v1/sessions.")
+@click.option("--url", "urls", required=True, multiple=True, help=URLS)
 @click.option("--model", default="headline", show_default=True, help="The workload.")
 @click.option("--max-tokens", type=int, default=64)
 @click.option("--timeout", type=float, default=None, help="s after which the client gives up.")
+@click.option("--member", default="", help="For whom it is asked.")
+@click.option("--authority", type=click.Path(exists=True, dir_okay=False, path_type=Path),
+              help="Certificates of the authorities to trust, in PEM.")
+@click.option("--once", is_flag=True, help="Running it twice would do harm: nothing that may have run is "
+                                           "tried again.")
+@click.option("--retry-share", type=float, default=0.2, show_default=True,
+              help="Tries again for each first try, at the most.")
 @click.argument("prompt")
-def complete(url: str, model: str, max_tokens: int, timeout: float | None, prompt: str) -> None:
-    """Streams one answer to the terminal and says its final answer; exits 1 unless it finished."""
+def complete(
+    urls: tuple[str, ...], model: str, max_tokens: int, timeout: float | None, member: str,
+    authority: Path | None, once: bool, retry_share: float, prompt: str,
+) -> None:
+    """Streams one answer to the terminal and says its final answer; exits 1 unless it finished, 2 where it
+    is not to be asked."""
     from heathford.cli.complete import one
-    sys.exit(asyncio.run(one(url, model, prompt, max_tokens, timeout, click.echo)))
+    sys.exit(asyncio.run(one(list(urls), model, prompt, max_tokens, timeout, click.echo, member, authority,
+                             not once, retry_share)))
+
+
+@cli.command("try")
+@click.option("--url", "urls", required=True, multiple=True, help=URLS)
+@click.option("--model", "models", multiple=True, default=["headline"], show_default=True,
+              help="A workload to choose from; may be given again.")
+@click.option("--max-tokens", type=int, default=64)
+@click.option("--timeout", type=float, default=30.0, show_default=True)
+@click.option("--member", default="", help="For whom it is asked.")
+@click.option("--authority", type=click.Path(exists=True, dir_okay=False, path_type=Path),
+              help="Certificates of the authorities to trust, in PEM.")
+def try_(
+    urls: tuple[str, ...], models: tuple[str, ...], max_tokens: int, timeout: float, member: str,
+    authority: Path | None,
+) -> None:
+    """Opens a terminal interface: prompts side by side, their streams, final answers and guidance."""
+    try:
+        from heathford.terminal.app import TryApp
+    except ImportError:
+        raise click.ClickException("this needs the extra: pip install heathford[terminal]") from None
+    from heathford.cli.complete import client_of
+    try:
+        TryApp(lambda: client_of(list(urls), member, authority, 0.2), list(models), max_tokens, timeout).run()
+    except ValueError as problem:
+        raise click.BadParameter(str(problem), param_hint="--url") from None
 
 
 @cli.command()
--- a/heathford/client/base.py
+++ b/heathford/client/base.py
@@ -1,33 +1,37 @@
 """What both clients share: a completion's tries, its text once and in order, its end."""
 
 import asyncio
+import ssl
 import uuid
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator, Callable, Sequence
 from typing import Any, Self
 
 from heathford.client.answers import Aborted, BadRequest, CompletionError, Finished, NoFront, RateLimited
-from heathford.client.retry import LEAST, Attempt, Budget, Fronts, Trouble
+from heathford.client.retry import LEAST, SAID, Attempt, Budget, Fronts, Trouble
 
 
 class TroubleError(Exception):
     """How a try came to nothing."""
 
-    def __init__(self, trouble: Trouble, why: str, retry_after: float = 0.0) -> None:
+    def __init__(self, trouble: Trouble, why: str, retry_after: float = 0.0, said: str = "") -> None:
         super().__init__(why)
         self.trouble, self.retry_after = trouble, retry_after
+        self.said = said if said in SAID else ""  # what later versions may say is passed over
 
 
 class Client(ABC):
     """addresses: of fronts, any of which may be asked; member: for whom; retry_share: tries again for each
-    first try, at the most; seed: of the order of fronts and of waits, for tests."""
+    first try, at the most; seed: of the order of fronts and of waits, for tests; tls: for addresses that
+    need it, where the system's authorities are not the ones to trust, or a certificate is to be shown."""
 
     def __init__(
-        self, addresses: Sequence[str], member: str = "", retry_share: float = 0.2, seed: int | None = None
+        self, addresses: Sequence[str], member: str = "", retry_share: float = 0.2, seed: int | None = None,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         if not addresses:
             raise ValueError("addresses: at least one front is needed")
-        self.addresses, self.member = list(addresses), member
+        self.addresses, self.member, self.tls = list(addresses), member, tls
         self.fronts, self.budget = Fronts(len(addresses), seed), Budget(retry_share)
 
     async def __aenter__(self) -> Self:
@@ -128,18 +132,19 @@
             self.skip = len(self.text)
             try:
                 completion, reason, usage = await client.once(
-                    front, self.params, max(LEAST, until - loop.time()), self.tell)
+                    front, {**self.params, "attempt": self.tries}, max(LEAST, until - loop.time()), self.tell)
                 client.fronts.good(front)
                 return Finished(completion, self.text, reason, usage, self.tries)
             except BadRequest:
                 raise
             except TroubleError as problem:
-                trouble, why, wait = problem.trouble, str(problem), problem.retry_after
+                trouble, why, wait, said = (
+                    problem.trouble, str(problem), problem.retry_after, problem.said)
             ran = ran or trouble in (Trouble.LOST, Trouble.ABORTED)
             turned_away = wait if trouble is Trouble.REFUSED else turned_away
             if self.text and trouble is not Trouble.LOST:
                 raise Aborted(why, self.text, self.tries)
-            again = attempt.after(trouble, loop.time(), wait)
+            again = attempt.after(trouble, loop.time(), wait, said)
             if again is None:
                 raise self.error(trouble, why, turned_away, ran)
             await asyncio.sleep(again.wait)
--- a/heathford/client/http.py
+++ b/heathford/client/http.py
@@ -1,6 +1,7 @@
 """Completions over HTTP/1.1: POST /v1/completions, streamed as server-sent events."""
 
 import asyncio
+import ssl
 from collections.abc import Callable, Sequence
 from typing import Any
 from urllib.parse import urlsplit
@@ -17,12 +18,13 @@
 CONNECT = 1.0  # s in which a front that is there takes a connection
 GRACE = 0.5  # s beyond its time in which the front's own answer may still come
 SILENCE = 30.0  # s that a stream may say nothing
+VERSION = "2"  # of the protocol that is spoken; a service of the version before passes it over
 LONGEST = 1 << 20  # bytes of a head or an event
 READ_BYTES = 65_536
 
 
 class HttpClient(Client):
-    """addresses: http://HOST:PORT"""
+    """addresses: http://HOST:PORT or https://HOST:PORT"""
 
     def __init__(self, addresses: Sequence[str], *args: Any, **more: Any) -> None:
         super().__init__(addresses, *args, **more)
@@ -37,7 +39,10 @@
                 return stream
         url = urlsplit(self.addresses[front])
         try:
-            stream = await TCPClient().connect(str(url.hostname), url.port or 80, timeout=CONNECT)
+            secure = (self.tls or ssl.create_default_context()) if url.scheme == "https" else None
+            stream = await TCPClient().connect(
+                str(url.hostname), url.port or (443 if secure else 80), timeout=CONNECT,
+                ssl_options=secure)
         except (TimeoutError, OSError, StreamClosedError) as problem:
             raise TroubleError(Trouble.UNREACHED, f"{self.addresses[front]}: {problem!r}") from None
         stream.set_nodelay(True)
@@ -49,7 +54,7 @@
         body = {k: v for k, v in params.items() if k != "idempotency_key"}
         body |= {"timeout": timeout, "stream": True, "stream_options": {"include_usage": True}}
         data = request("POST", "/v1/completions", urlsplit(self.addresses[front]).netloc, {
-            "Idempotency-Key": params["idempotency_key"]}, orjson.dumps(body))
+            "Idempotency-Key": params["idempotency_key"], "Heathford-Version": VERSION}, orjson.dumps(body))
         stream = await self.connection(front)
         try:
             await stream.write(data)
@@ -74,7 +79,7 @@
         response, events = Response(LONGEST), EventStream(LONGEST)
         body = bytearray()
         completion, reason, usage = "", "", dict[str, Any]()
-        whole, why = False, ""
+        whole, why, retry = False, "", ""
         wait = timeout + GRACE
         while not response.done:
             try:
@@ -93,7 +98,7 @@
                         continue
                     said = orjson.loads(event)
                     if "error" in said:
-                        why = said["error"]["message"]
+                        why, retry = said["error"]["message"], str(said.get("retry") or "")
                         continue
                     completion, usage = said["id"], said.get("usage") or usage
                     for choice in said["choices"]:
@@ -103,7 +108,7 @@
         if response.status != 200:
             self.fail(response.status, bytes(body))
         if why:
-            raise TroubleError(Trouble.ABORTED, why)
+            raise TroubleError(Trouble.ABORTED, why, said=retry)
         if not whole:
             raise TroubleError(Trouble.LOST, "the stream ended without saying so")
         return completion, reason, usage
@@ -114,11 +119,14 @@
         except orjson.JSONDecodeError:
             said = {}
         why = str(said.get("detail") or f"status {status}") if isinstance(said, dict) else f"status {status}"
+        if not isinstance(said, dict):
+            said = {}
+        retry = str(said.get("retry") or "")
         if status == 429:
-            raise TroubleError(Trouble.REFUSED, why, float(said.get("retry_after") or 0.0))
+            raise TroubleError(Trouble.REFUSED, why, float(said.get("retry_after") or 0.0), retry)
         if 400 <= status < 500:
             raise BadRequest(why)
-        raise TroubleError(Trouble.ABORTED, why)
+        raise TroubleError(Trouble.ABORTED, why, said=retry)
 
     async def close(self) -> None:
         for streams in self.idle.values():
--- a/heathford/client/retry.py
+++ b/heathford/client/retry.py
@@ -71,6 +71,9 @@
         return all(until > now for until in self.bad_until)
 
 
+SAID = ("", "anywhere", "here", "never")  # what a front says of trying again; nothing before version 2
+
+
 class Attempt:
     """One completion's tries. until: when the caller gives up; repeatable: running it twice does no harm;
     keyed: the front knows it by its key."""
@@ -85,10 +88,15 @@
         self.unreached = 0
         budget.first()
 
-    def after(self, trouble: Trouble, now: float, retry_after: float = 0.0) -> Again | None:
-        """What to do after a try that came to nothing; None: tell the caller."""
+    def after(self, trouble: Trouble, now: float, retry_after: float = 0.0, said: str = "") -> Again | None:
+        """What to do after a try that came to nothing; None: tell the caller. said: the front's guidance,
+        which is followed where it is stricter than what the caller allows."""
         wait = 0.0
-        if trouble is Trouble.LOST and not self.repeatable:
+        if said == "never" and trouble is Trouble.ABORTED:
+            return None
+        if said == "here" and trouble is Trouble.ABORTED:
+            self.unknown_at = self.front
+        elif trouble is Trouble.LOST and not self.repeatable:
             if not self.keyed:
                 return None
             self.unknown_at = self.front  # only there is it known that it may be out
--- a/heathford/client/websocket.py
+++ b/heathford/client/websocket.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import orjson
+from tornado.httpclient import HTTPClientError, HTTPRequest
 from tornado.websocket import WebSocketClientConnection, websocket_connect
 
 from heathford.client.answers import BadRequest
@@ -15,9 +16,18 @@
 CONNECT = 1.0  # s in which a front that is there takes a session
 GRACE = 0.5  # s beyond its time in which the front's own answer may still come
 STREAM = 120.0  # s that a stream may go on
+SUBPROTOCOLS = ["heathford.v2", "heathford.v1"]  # newest first
 RATE_LIMITED, ABORTED = -32001, -32002
 
 
+def refusal_of(body: bytes) -> str:
+    """Why a front refuses the handshake, as far as it says."""
+    try:
+        return str(orjson.loads(body)["detail"])
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return "the front refuses the session"
+
+
 class SharedSession:
     """One session, its completions by id."""
 
@@ -49,7 +59,7 @@
 
 
 class WebSocketClient(Client):
-    """addresses: ws://HOST:PORT/v1/sessions"""
+    """addresses: ws://HOST:PORT/v1/sessions or wss://HOST:PORT/v1/sessions"""
 
     def __init__(self, addresses: Sequence[str], *args: Any, **more: Any) -> None:
         super().__init__(addresses, *args, **more)
@@ -62,7 +72,13 @@
             if found and not found.lost and not found.going:
                 return found
             try:
-                socket = await websocket_connect(self.addresses[front], connect_timeout=CONNECT)
+                socket = await websocket_connect(
+                    HTTPRequest(self.addresses[front], connect_timeout=CONNECT, ssl_options=self.tls),
+                    subprotocols=SUBPROTOCOLS)
+            except HTTPClientError as problem:
+                if problem.code == 400 and problem.response:
+                    raise BadRequest(refusal_of(problem.response.body)) from None
+                raise TroubleError(Trouble.UNREACHED, f"{self.addresses[front]}: {problem!r}") from None
             except Exception as problem:  # refused, no answer, no WebSocket there
                 raise TroubleError(Trouble.UNREACHED, f"{self.addresses[front]}: {problem!r}") from None
             self.sessions[front] = SharedSession(socket)
@@ -109,9 +125,10 @@
     def fail(self, error: dict[str, Any]) -> None:
         if error["code"] == RATE_LIMITED:
             wait = float(error["data"].get("retry_after") or 0.0)
-            raise TroubleError(Trouble.REFUSED, error["message"], wait)
+            raise TroubleError(Trouble.REFUSED, error["message"], wait, str(error["data"].get("retry") or ""))
         if error["code"] == ABORTED:
-            raise TroubleError(Trouble.ABORTED, error["message"])
+            said = str(error.get("data", {}).get("retry") or "")
+            raise TroubleError(Trouble.ABORTED, error["message"], said=said)
         raise BadRequest(error["message"])
 
     async def close(self) -> None:
--- a/heathford/completions/answers.py
+++ b/heathford/completions/answers.py
@@ -15,17 +15,17 @@
     return orjson.dumps({"type": "about:blank", "title": title, "status": status, "detail": detail, **more})
 
 
-def refusal(completion: str, retry_after: float) -> tuple[int, dict[str, str], bytes]:
+def refusal(completion: str, retry_after: float, **more: Any) -> tuple[int, dict[str, str], bytes]:
     """429: a new try does no harm, after `retry_after` s. The header knows whole seconds, the body more."""
-    more = {"completion": completion} if completion else {}
+    more |= {"completion": completion} if completion else {}
     return 429, {"Retry-After": str(ceil(retry_after)), "Content-Type": PROBLEM}, problem(
         429, "Too Many Requests", "rate-limited", final=RATE_LIMITED, retry_after=retry_after, **more)
 
 
-def failure(completion: str, why: str) -> tuple[int, dict[str, str], bytes]:
+def failure(completion: str, why: str, **more: Any) -> tuple[int, dict[str, str], bytes]:
     """502: no promise about what has run."""
     return 502, {"Content-Type": PROBLEM}, problem(
-        502, "Bad Gateway", why, final=ABORTED, completion=completion)
+        502, "Bad Gateway", why, final=ABORTED, completion=completion, **more)
 
 
 def whole(completion: str, model: str, text: str, reason: str, usage: Mapping[str, Any]) -> bytes:
@@ -48,10 +48,10 @@
     return end + b"data: [DONE]\n\n"
 
 
-def broken(completion: str, why: str) -> bytes:
+def broken(completion: str, why: str, **more: Any) -> bytes:
     """A stream that ends without an answer: an error event, and no [DONE]."""
     return event({"error": {"message": why, "type": ABORTED, "code": ABORTED}, "id": completion,
-                  "final": ABORTED})
+                  "final": ABORTED, **more})
 
 
 def event(value: Mapping[str, Any]) -> bytes:
--- a/heathford/completions/handler.py
+++ b/heathford/completions/handler.py
@@ -9,8 +9,10 @@
 from tornado.web import RequestHandler
 
 from heathford.completions import answers
+from heathford.sessions.guidance import Retry, after_refusal
 from heathford.sessions.offers import ParamsError
 from heathford.sessions.session import Desk, Session
+from heathford.sessions.versions import BEFORE, HEADER, VersionError, of_header
 
 KEY = 0  # the one completion of such a session
 
@@ -23,11 +25,18 @@
         self.session: Session | None = None
         self.over = asyncio.Event()
         self.streams = self.with_usage = self.begun = False
-        self.model = ""
+        self.model, self.version = "", BEFORE
         self.untaken = 0
 
     async def post(self) -> None:
         received = self.desk.now()
+        try:
+            self.version = of_header(self.request.headers.get(HEADER))
+        except VersionError as problem:
+            self.say(400, {"Content-Type": answers.PROBLEM}, answers.problem(
+                400, "Bad Request", str(problem), served=problem.served))
+            return
+        self.set_header(HEADER, str(self.version))
         if len(self.request.body) > self.longest:
             self.say(413, {"Content-Type": answers.PROBLEM}, answers.problem(
                 413, "Content Too Large", f"allowed are {self.longest} bytes"))
@@ -48,14 +57,14 @@
             self.bad_request("stream: allowed is true or false; stream_options: an object")
             return
         try:
-            asked = self.desk.offers.read(params)
+            asked, attempt = self.desk.offers.read(params), self.desk.offers.attempt(params)
         except ParamsError as problem:
             self.bad_request(str(problem))
             return
         self.streams, self.with_usage = streams, bool(options.get("include_usage"))
         self.model = asked["body"]["model"]
         self.session = Session(self.desk, self, self.desk.next_name())
-        self.session.ask(KEY, asked, received, len(self.request.body))
+        self.session.ask(KEY, asked, received, len(self.request.body), attempt)
         await self.over.wait()
 
     def on_connection_close(self) -> None:
@@ -122,13 +131,16 @@
                      answers.whole(completion, self.model, text, reason, usage))
 
     def rate_limited(self, key: Any, completion: str, retry_after: float) -> None:
-        self.say(*answers.refusal(completion, retry_after))
+        self.say(*answers.refusal(completion, retry_after, **self.guidance(after_refusal())))
+
+    def guidance(self, retry: Retry) -> dict[str, Any]:
+        return {"retry": retry.value} if self.version > BEFORE else {}
 
-    def aborted(self, key: Any, completion: str, why: str) -> None:
+    def aborted(self, key: Any, completion: str, why: str, retry: Retry) -> None:
         if self.begun:
-            self.stream(answers.broken(completion, why), end=True)
+            self.stream(answers.broken(completion, why, **self.guidance(retry)), end=True)
         else:
-            self.say(*answers.failure(completion, why))
+            self.say(*answers.failure(completion, why, **self.guidance(retry)))
 
     def conflict(self, key: Any) -> None:
         self.say(422, {"Content-Type": answers.PROBLEM}, answers.problem(
--- a/heathford/days/breaches.py
+++ b/heathford/days/breaches.py
@@ -185,6 +185,22 @@
         s.final(2.0, key, "aborted")
 
 
+def repeat_after(s: Story) -> None:
+    """A client came again after its dispatch had ended, and the front sent it a second time."""
+    for key in (1, 2):
+        s.asked(float(key), key, "once")
+        s.sent(float(key), key, 0, "w1", "once")
+        s.events[-1]["mark"] = "k"
+        s.ended(key + 0.5, key, 0, "w1", "broken")
+        s.final(key + 0.5, key, "aborted")
+
+
+def clean_repeat_after_a_restart(s: Story) -> None:
+    """What the front that died remembered is gone with it."""
+    repeat_after(s)
+    s.note(1.8, "day", "killed", front="f")
+
+
 def once_twice(s: Story) -> None:
     s.read(1, "once")
     s.sent(1.25, 1, 1, "w2", "once", state=0)
@@ -281,13 +297,14 @@
 
 CLEAN: list[Teller] = [
     clean_path, clean_full_then_elsewhere, clean_let_go_and_refused, clean_drain_within_grace, clean_killed,
-    clean_cold, clean_noted_late]
+    clean_cold, clean_noted_late, clean_repeat_after_a_restart]
 BREACHES: list[tuple[Teller, str]] = [
     (no_answer, "1 one final answer"), (session_closed_under_it, "1 one final answer"),
     (two_answers, "1 one final answer"), (late_answer, "1 in time"),
     (endless_stream, "1 in time"), (chunk_after, "1 nothing after"), (token_twice, "1 whole text"),
     (two_out, "2 no two out"), (repeat_beside, "2 no two out"),
     (read_beside_write, "2 no two out"), (once_twice, "2 no effect twice"),
+    (repeat_after, "2 no effect twice"),
     (once_refused, "2 harmless refusals"), (outside_group, "2 repeats in group"),
     (after_memory_time, "2 repeats in group"), (after_drain, "3 drains kept"),
     (to_one_unlisted, "3 drains kept"), (cold_burst, "4 cold engines"), (cold_stream, "4 cold engines"),
--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -2,13 +2,14 @@
 
 import asyncio
 import socket
+import ssl
 from collections import deque
 from collections.abc import Mapping
 from typing import Any
 
 import orjson
 import structlog
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
 from heathford.core.doors import CallEvents, Endpoint
 from heathford.engines.answers import cached, chunk, load_of, read_answer, verdict_of
@@ -31,15 +32,16 @@
 
 class EngineLink:
     """connect_timeout, idle and stream_silence in s; connections at most for each engine; source: the local
-    address that connections are made from, or empty; pin_limit: s within which a state is let go."""
+    address that connections are made from, or empty; pin_limit: s within which a state is let go. tls: what
+    new connections are made with, if anything; an engine's certificate must name it as the list does."""
 
     def __init__(
         self, connect_timeout: float, connections: int, idle: float, stream_silence: float, longest_line: int,
-        pin_limit: float, source: str = "",
+        pin_limit: float, source: str = "", tls: ssl.SSLContext | None = None,
     ) -> None:
         self.connect_timeout, self.most, self.idle_life = connect_timeout, connections, idle
         self.stream_silence, self.longest_line, self.source = stream_silence, longest_line, source
-        self.pin_limit = pin_limit
+        self.pin_limit, self.tls = pin_limit, tls
         self.pools: dict[tuple[str, int], Connections] = {}
         self.tasks: dict[asyncio.Task[None], None] = {}
         self.stopped = False
@@ -117,10 +119,11 @@
         except OSError:
             sock.close()
             raise
-        stream = IOStream(sock, read_chunk_size=READ_BYTES)
+        stream = (SSLIOStream(sock, read_chunk_size=READ_BYTES, ssl_options=self.tls) if self.tls
+                  else IOStream(sock, read_chunk_size=READ_BYTES))
         pool.open += 1
         try:
-            await stream.connect((endpoint.address, endpoint.port))
+            await stream.connect((endpoint.address, endpoint.port), endpoint.name if self.tls else None)
         except BaseException:
             self.drop(pool, stream)
             raise
--- a/heathford/front/process.py
+++ b/heathford/front/process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import ssl
 import sys
 import time
 from collections.abc import Callable
@@ -24,6 +25,7 @@
 from heathford.sessions.session import Desk
 from heathford.sessions.sharing import Shares
 from heathford.sessions.socket import Sockets
+from heathford.tls.files import keys_of
 
 log = structlog.get_logger()
 
@@ -40,9 +42,16 @@
         seeds = script.all("seed")
         seed = (seeds[0].value if seeds else 0) * len(fronts) + number
         loop = asyncio.get_running_loop()
+        self.keys, self.engine_keys = keys_of(script, "service_tls"), keys_of(script, "engine_tls")
+        for keys in (self.keys, self.engine_keys):
+            if keys:
+                keys.look()
+                if not keys.context:
+                    raise RuntimeError("the keys can't be used")
         self.link = EngineLink(
             dispatches.connect_timeout, dispatches.connections, dispatches.idle, safety.stream_silence,
-            dispatches.longest_line, safety.pin_limit, source=self.declared.address)
+            dispatches.longest_line, safety.pin_limit, source=self.declared.address,
+            tls=self.engine_keys.context if self.engine_keys else None)
         self.core = Core(
             loop, self.link, instance_name(self.declared.name), seed,
             [Kind(Role(k.role), k.memory) for k in kinds],
@@ -61,7 +70,7 @@
                    w.most_prompt, w.latency_target, w.target_per_1000) for place, w in enumerate(works)],
             [m.name for m in script.all("member")])
         desk = Desk(
-            self.core, offers, Room(figures.most_held, figures.most, figures.read_ahead), Shares(seed),
+            self.core, offers, Room(figures.most_held, figures.most, figures.read_ahead), Shares(),
             Identities(figures.identities, figures.come_back), loop.time, loop.call_at, figures.most_out,
             figures.most_waiting)
         patience = Patience(figures.ping, figures.pong, figures.idle, figures.slow)
@@ -69,19 +78,40 @@
             desk, loop.time, patience, figures.unsent, figures.farewell, figures.compress, seed)
         application = self.sockets.application(figures.longest_message)
         application.add_handlers(".*", routes(desk, figures.unsent, figures.longest_message))
-        self.server = HTTPServer(application, max_buffer_size=figures.longest_message)
+        self.server = HTTPServer(
+            application, max_buffer_size=figures.longest_message,
+            ssl_options=self.keys.context if self.keys else None)
+        # Sessions that are open go on with the keys they began with; who comes next gets the new ones.
+        if self.keys:
+            self.keys.changed = self.serve_with
+        if self.engine_keys:
+            self.engine_keys.changed = self.ask_with
         self.stop_within = figures.stop_within
         self.stopped = asyncio.Event()
         self.port = 0
 
     async def start(self) -> str:
         """Serves once the first list is there; returns the sessions' URL."""
-        self.following = asyncio.get_running_loop().create_task(self.registry.run())
+        loop = asyncio.get_running_loop()
+        self.following = loop.create_task(self.registry.run())
+        self.watching = [loop.create_task(k.watch()) for k in (self.keys, self.engine_keys) if k]
         await self.registry.told.wait()
         sockets = bind_sockets(self.declared.port, self.declared.address, backlog=1024)
         self.server.add_sockets(sockets)
         self.port = sockets[0].getsockname()[1]
-        return f"ws://{self.declared.address}:{self.port}/v1/sessions"
+        return f"{'wss' if self.keys else 'ws'}://{self.declared.address}:{self.port}/v1/sessions"
+
+    def serve_with(self, context: ssl.SSLContext) -> None:
+        self.server.ssl_options = context
+
+    def ask_with(self, context: ssl.SSLContext) -> None:
+        self.link.tls = context
+
+    def look_at_keys(self) -> None:
+        """Now, not at the next look."""
+        for keys in (self.keys, self.engine_keys):
+            if keys:
+                keys.look()
 
     def drain(self) -> None:
         log.info("draining", open=self.core.open)
@@ -113,12 +143,15 @@
         while self.link.tasks:
             await asyncio.wait(list(self.link.tasks), timeout=self.link.pin_limit)
             break
-        self.following.cancel()
+        for task in (self.following, *self.watching):
+            task.cancel()
         self.link.stop()
         await self.server.close_all_connections()
         tally = self.core.tally
         log.info("stopped", taken=tally.taken, finished=tally.finished, rate_limited=tally.rate_limited,
-                 aborted=tally.aborted, left=tally.left, faults=tally.faults, late=tally.late)
+                 aborted=tally.aborted, left=tally.left,
+                 first_tries=self.sockets.desk.tries.first, tries_again=self.sockets.desk.tries.again,
+                 faults=tally.faults, late=tally.late)
         self.stopped.set()
 
 
@@ -140,6 +173,7 @@
         loop.add_signal_handler(sign, ending.set)
     front = Front(script, number, registry)
     loop.add_signal_handler(signal.SIGUSR1, front.drain)
+    loop.add_signal_handler(signal.SIGHUP, front.look_at_keys)
     if with_parent:
         reader = asyncio.StreamReader()
         await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
--- a/heathford/script/words.py
+++ b/heathford/script/words.py
@@ -123,5 +123,14 @@
         "slow": Field(SOME_SECONDS), "come_back": Field(SECONDS), "identities": Field(whole(0, 10**8)),
         "stop_within": Field(SECONDS), "farewell": Field(SECONDS),
         "compress": Field(switch)}, least=1, most=1),
+    "service_tls": Word({
+        "certificate": NAME, "key": NAME, "authority": Field(text, needed=False, absent=""),
+        "clients": Field(one_of("none", "optional", "required"), needed=False, absent="none")}, most=1),
+    "engine_tls": Word({
+        "authority": NAME, "certificate": Field(text, needed=False, absent=""),
+        "key": Field(text, needed=False, absent="")}, most=1),
+    "stand_in_tls": Word({
+        "certificate": NAME, "key": NAME, "authority": Field(text, needed=False, absent=""),
+        "clients": Field(one_of("none", "optional", "required"), needed=False, absent="none")}, most=1),
     "seed": Word({"value": Field(whole(0, 2**63 - 1))}, least=0, most=1),
 }
--- a/heathford/sessions/offers.py
+++ b/heathford/sessions/offers.py
@@ -5,6 +5,7 @@
 from math import ceil
 from typing import Any
 
+MOST_ATTEMPT = 1000  # tries: beyond it a client is broken, and its counts would be too
 MOST_TIMEOUT = 600.0  # s: a client that would wait longer has a batch, not a session
 
 
@@ -68,6 +69,13 @@
             "body": {"model": model, "prompt": prompt, "max_tokens": longest},
             "mark": text(params, "idempotency_key")}
 
+    def attempt(self, params: Mapping[str, Any]) -> int:
+        """Which try its client says that it is, from 1; raises ParamsError."""
+        found = whole(params, "attempt", 1)
+        if not 1 <= found <= MOST_ATTEMPT:
+            raise ParamsError(f"attempt: {found}; allowed is 1 to {MOST_ATTEMPT}")
+        return found
+
 
 def text(params: Mapping[str, Any], name: str, needed: bool = False) -> str:
     value = params.get(name)
--- a/heathford/sessions/rpc.py
+++ b/heathford/sessions/rpc.py
@@ -5,9 +5,11 @@
 
 import orjson
 
+from heathford.sessions.guidance import Retry, after_refusal
 from heathford.sessions.limits import known
 from heathford.sessions.offers import ParamsError
 from heathford.sessions.session import Desk, Session
+from heathford.sessions.versions import BEFORE, PRESENT
 
 PARSE, REQUEST, METHOD, PARAMS = -32700, -32600, -32601, -32602  # JSON-RPC's own
 RATE_LIMITED, ABORTED = -32001, -32002  # within the range that JSON-RPC leaves to servers
@@ -28,8 +30,8 @@
 class Rpc:
     """What a client says becomes calls on its session; what the session tells becomes messages."""
 
-    def __init__(self, desk: Desk, outlet: Outlet, name: str) -> None:
-        self.desk, self.outlet = desk, outlet
+    def __init__(self, desk: Desk, outlet: Outlet, name: str, version: int = PRESENT) -> None:
+        self.desk, self.outlet, self.version = desk, outlet, version
         self.session = Session(desk, self, name)
 
     def message(self, data: str | bytes) -> None:
@@ -69,11 +71,11 @@
             self.error(key, REQUEST, f"id: {key!r} is in use by a completion that is out")
         else:
             try:
-                asked = self.desk.offers.read(params)
+                asked, attempt = self.desk.offers.read(params), self.desk.offers.attempt(params)
             except ParamsError as problem:
                 self.error(key, PARAMS, str(problem))
                 return
-            self.session.ask(key, asked, received, size)
+            self.session.ask(key, asked, received, size, attempt)
 
     def cancel(self, key: Any, wanted: Any) -> None:
         found = known(wanted) and self.session.cancel(wanted)
@@ -117,11 +119,15 @@
 
     def rate_limited(self, key: Any, completion: str, retry_after: float) -> None:
         data: dict[str, Any] = {"completion": completion} if completion else {}
-        data |= {"retry_after": retry_after, "final": "rate-limited"}
+        data |= {"retry_after": retry_after, "final": "rate-limited"} | self.guidance(after_refusal())
         self.error(key, RATE_LIMITED, "rate-limited", data)
 
-    def aborted(self, key: Any, completion: str, why: str) -> None:
-        data = {"final": "aborted"} | ({"completion": completion} if completion else {})
+    def guidance(self, retry: Retry) -> dict[str, Any]:
+        return {"retry": retry.value} if self.version > BEFORE else {}
+
+    def aborted(self, key: Any, completion: str, why: str, retry: Retry) -> None:
+        data = {"final": "aborted"} | self.guidance(retry)
+        data |= {"completion": completion} if completion else {}
         self.error(key, ABORTED, why, data)
 
     def conflict(self, key: Any) -> None:
--- a/heathford/sessions/session.py
+++ b/heathford/sessions/session.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from hashlib import blake2b
+from math import inf
 from typing import Any, Protocol
 
 import orjson
@@ -10,10 +11,12 @@
 from heathford.core.doors import Cancellable
 from heathford.identity.identities import Found, Identities
 from heathford.identity.shared import Shared
+from heathford.identity.tries import Tries
 from heathford.interface import Effect
-from heathford.sessions.limits import RETRY_AFTER, Room, Waiting
+from heathford.sessions.guidance import Retry, after_abort, still_out
+from heathford.sessions.limits import LAST_CALL, RETRY_AFTER, Room, Waiting
 from heathford.sessions.offers import Offers
-from heathford.sessions.sharing import Shares
+from heathford.sessions.sharing import WAIT, Shares
 
 
 class Voice(Protocol):
@@ -35,7 +38,7 @@
 
     def rate_limited(self, key: Any, completion: str, retry_after: float) -> None: ...
 
-    def aborted(self, key: Any, completion: str, why: str) -> None: ...
+    def aborted(self, key: Any, completion: str, why: str, retry: Retry) -> None: ...
 
     def conflict(self, key: Any) -> None:
         """Its idempotency key stands for another completion."""
@@ -46,16 +49,46 @@
     that wait there for one of these to end. later: calls at a time of the clock `now`."""
 
     def __init__(
-        self, core: Core, offers: Offers, room: Room, shares: Shares, identities: Identities,
+        self, core: Core, offers: Offers, room: Room, shares: "Shares[Answer]", identities: Identities,
         now: Callable[[], float], later: Callable[[float, Callable[[], None]], Cancellable], most_out: int,
         most_waiting: int,
     ) -> None:
         self.core, self.offers, self.room, self.shares = core, offers, room, shares
         self.identities, self.now, self.later = identities, now, later
+        self.tries = Tries(identities.most, identities.keep)
         self.most_out, self.most_waiting = most_out, most_waiting
         self.retry_after = RETRY_AFTER
         self.stopping = False
         self.count = 0
+        self.sharing = False
+        self.timer: Cancellable | None = None
+        self.timer_at: float | None = None
+
+    def share(self) -> None:
+        """Lets in what the shares have room for, and turns away what has waited too long. What it calls may
+        end completions and so call it again: the call that runs looks once more."""
+        self.share_again = True
+        if self.sharing:
+            return
+        self.sharing = True
+        try:
+            while self.share_again:
+                self.share_again = False
+                for answer in self.shares.late(self.now()):
+                    answer.turned_away()
+                while (let_in := self.shares.next()) is not None:
+                    let_in.begin()
+        finally:
+            self.sharing = False
+        if self.timer_at != self.shares.due:
+            if self.timer:
+                self.timer.cancel()
+            self.timer_at = due = self.shares.due
+            self.timer = None if due is None else self.later(due, self.share_late)
+
+    def share_late(self) -> None:
+        self.timer_at = None
+        self.share()
 
     def next_name(self) -> str:
         """Of a session. Its completions are read where the last was, so no two sessions share one."""
@@ -72,26 +105,23 @@
         self.waiting: Waiting[Answer] = Waiting(desk.most_waiting)
         self.expiry: Cancellable | None = None
 
-    def ask(self, key: Any, asked: dict[str, Any], received: float, size: int) -> None:
-        """Takes what offers.read gave, of so many bytes; no two of one key are out at once."""
+    def ask(self, key: Any, asked: dict[str, Any], received: float, size: int, attempt: int = 1) -> None:
+        """Takes what offers.read gave, of so many bytes; no two of one key are out at once. attempt: which
+        try its client says that it is."""
         desk = self.desk
+        desk.tries.counts(asked["member"], asked["mark"], received, attempt)
         answer = Answer(self, key, asked, received, size)
-        mark = asked["mark"]
-        if mark:
+        if asked["mark"]:
             answer.digest = blake2b(orjson.dumps(asked["body"]), digest_size=16).digest()
-            found, shared = desk.identities.look(asked["member"], mark, answer.digest, received)
-            if found is Found.CONFLICT:
-                self.voice.conflict(key)
-                return
-            if shared is not None:
-                self.join(answer, shared)
-                return
+            found = answer.look_up()
             if found is Found.NO_ROOM:
                 self.refuse(key)
+            if found is not Found.NEW:
                 return
         if desk.stopping or not desk.room.fits(size):
             self.refuse(key)
         elif self.out < desk.most_out:
+            self.hold(answer)
             self.start(answer)
         elif self.waiting.add(answer.due, answer):
             self.hold(answer)
@@ -116,37 +146,19 @@
         answer.holds = True
 
     def start(self, answer: "Answer") -> None:
-        desk, asked, mark = self.desk, answer.asked, answer.asked["mark"]
-        member = asked["member"]
-        if not desk.shares.asks(member, self.name, desk.now()):
-            answer.close()
-            self.refuse(answer.key)
-            return
-        if not answer.holds:
-            self.hold(answer)
+        """It takes a place in this session, and waits for its share of the front."""
+        desk, now = self.desk, self.desk.now()
         self.out += 1
-        effect = desk.core.workloads[asked["workload"]].effect
-
-        def ended() -> None:
-            # A refusal promises that a new try does no harm, so it must not be what the new try gets; and
-            # what may run again is run again. All else is given again as it was.
-            if shared.refused or (effect is Effect.IDEMPOTENT and not shared.done):
-                desk.identities.drop(member, mark)
-            else:
-                desk.identities.end(member, mark, desk.now())
-        shared = answer.shared = Shared(ended)
-        shared.join(answer)
         answer.started = True
-        if mark:
-            desk.identities.begin(member, mark, answer.digest, effect, shared)
-        shared.taken = desk.core.take(shared, session=self.name, received=answer.received, **asked)
+        until = min(now + WAIT * answer.target, answer.due - LAST_CALL)
+        desk.shares.asks(answer.asked["member"], self.name, answer, until)
+        desk.share()
 
     def next(self) -> None:
         """One of ours has ended: the next that waits takes its place."""
         while self.out < self.desk.most_out and (answer := self.waiting.next()):
             if self.desk.stopping:
-                answer.close()
-                self.refuse(answer.key)
+                answer.turned_away()
             else:
                 self.start(answer)
 
@@ -158,8 +170,7 @@
 
     def expire(self) -> None:
         for answer in self.waiting.late(self.desk.now()):
-            answer.close()
-            self.refuse(answer.key)
+            answer.turned_away()
         self.expiry = None
         self.set_expiry()
 
@@ -170,13 +181,13 @@
             return False
         name = answer.name
         answer.leave(cancelled=True)
-        self.voice.aborted(key, name, "cancelled by the client")
+        self.voice.aborted(key, name, "cancelled by the client", Retry.NEVER)
         return True
 
     def left(self) -> None:
         """The client has gone. What may run again and nobody else waits for ends at once; what must not run
         twice goes on, and its answer is kept for a client that comes again with its key."""
-        for answer in list(self.answers.values()):
+        for answer in sorted(self.answers.values(), key=lambda a: a.started):  # so that none is begun for it
             answer.leave(cancelled=False)
         if self.expiry:
             self.expiry.cancel()
@@ -199,6 +210,7 @@
         self.shared: Shared | None = None
         self.timer: Cancellable | None = None
         self.holds = self.started = self.over = False
+        self.let_in: float | None = None  # since when it has a place in the shares' window
         self.first: float | None = None
         self.merged: list[str] = []
         self.text: list[str] = []
@@ -208,14 +220,80 @@
         taken = self.shared.taken if self.shared else None
         return taken.name if taken else ""
 
+    @property
+    def target(self) -> float:
+        """s within which its first token is wanted."""
+        return self.session.desk.offers.target(self.asked["workload"], self.asked["prompt"])
+
+    def look_up(self) -> Found:
+        """Joins one with its key that is known; NEW and NO_ROOM are left to the caller. A repeat gets what
+        the first gets, and no dispatch of its own."""
+        desk, member, mark = self.session.desk, self.asked["member"], self.asked["mark"]
+        found, shared = desk.identities.look(member, mark, self.digest, desk.now())
+        if found is Found.CONFLICT:
+            self.close()
+            self.session.voice.conflict(self.key)
+        elif shared is not None:
+            self.give_back_place()
+            self.session.answers[self.key] = self
+            self.shared = shared
+            self.timer = desk.later(self.due, self.out_of_time)
+            shared.join(self)
+        return found
+
+    def begin(self) -> None:
+        """Let in: it goes to the decisions."""
+        session, desk, asked = self.session, self.session.desk, self.asked
+        member, mark, now = asked["member"], asked["mark"], desk.now()
+        self.let_in = now
+        if desk.stopping:
+            self.turned_away()
+            return
+        if mark:
+            # Guards against two with one key that both waited here: each was new when it was asked.
+            found = self.look_up()
+            if found is Found.NO_ROOM:
+                self.turned_away()
+            if found is not Found.NEW:
+                return
+        effect = desk.core.workloads[asked["workload"]].effect
+
+        def ended() -> None:
+            # A refusal promises that a new try does no harm, so it must not be what the new try gets; and
+            # what may run again is run again. All else is given again as it was.
+            if shared.refused or (effect is Effect.IDEMPOTENT and not shared.done):
+                desk.identities.drop(member, mark)
+            else:
+                desk.identities.end(member, mark, desk.now())
+        shared = self.shared = Shared(ended)
+        shared.join(self)
+        if mark:
+            desk.identities.begin(member, mark, self.digest, effect, shared)
+        shared.taken = desk.core.take(shared, session=session.name, received=self.received, **asked)
+
+    def turned_away(self) -> None:
+        """There was no room for it in time, and nothing of it has run."""
+        self.close()
+        self.session.refuse(self.key)
+
+    def give_back_place(self, part: float | None = None) -> None:
+        """Its place in the shares' window, if it has one; part: of its latency target that it took."""
+        if self.let_in is None:
+            return
+        desk, let_in, self.let_in = self.session.desk, self.let_in, None
+        if part is None or self.due - self.received < self.target:
+            desk.shares.gone(self.asked["member"])  # nor does a client with little time tell of room
+        else:
+            desk.shares.answered(self.asked["member"], let_in, part, desk.now())
+        desk.share()
+
     def tokens(self, text: str) -> None:
         if self.first is None:
             now = self.first = self.session.desk.now()
             if self.timer:
                 self.timer.cancel()
-            target = self.session.desk.offers.target(self.asked["workload"], self.asked["prompt"])
-            if self.started and now - self.received <= target:
-                self.session.desk.shares.answered(now)
+            if self.let_in is not None:
+                self.give_back_place((now - self.let_in) / self.target)
         self.merged.append(text)
         if not self.session.voice.slow:
             self.flush()
@@ -228,18 +306,25 @@
         self.session.voice.chunk(self.key, self.name, part)
 
     def finished(self, reason: str, usage: Mapping[str, Any]) -> None:
+        desk, tokens = self.session.desk, usage.get("completion_tokens")
+        if self.started and self.first is not None and isinstance(tokens, int) and tokens > 1:
+            wanted = desk.core.workloads[self.asked["workload"]].token_target
+            desk.shares.streamed((desk.now() - self.first) / (tokens - 1) / wanted)
         self.flush()
         self.close()
         self.session.voice.finished(self.key, self.name, reason, usage, "".join(self.text))
 
     def rate_limited(self, retry_after: float) -> None:
+        self.give_back_place(inf)
         self.close()
         self.session.voice.rate_limited(self.key, self.name, retry_after)
 
     def aborted(self, why: str) -> None:
+        self.give_back_place(inf)
         self.flush()
         self.close()
-        self.session.voice.aborted(self.key, self.name, why)
+        effect = self.session.desk.core.workloads[self.asked["workload"]].effect
+        self.session.voice.aborted(self.key, self.name, why, after_abort(effect))
 
     def out_of_time(self) -> None:
         """A repeat that joined one with more time left than its own client has."""
@@ -247,18 +332,19 @@
             return
         self.shared.leave(self)
         self.close()
-        self.session.voice.aborted(self.key, self.name, "still out: come again with the same key")
+        self.session.voice.aborted(
+            self.key, self.name, "still out: come again with the same key", still_out())
 
     def leave(self, cancelled: bool) -> None:
         """The client wants it no more, or is gone."""
         desk, shared = self.session.desk, self.shared
-        if self.started and not self.over and self.first is None:
-            desk.shares.left(desk.now())
-        self.close()
-        if shared is None:
+        if shared is None and not self.started:
             self.session.waiting.take_out(self)
             self.session.set_expiry()
-        elif shared.leave(self) and not shared.over:
+        self.close()
+        if shared is None:
+            return
+        if shared.leave(self) and not shared.over:
             effect = desk.core.workloads[self.asked["workload"]].effect
             if cancelled or effect is Effect.IDEMPOTENT or not self.asked["mark"]:
                 shared.let_go()
@@ -270,6 +356,8 @@
         session, desk = self.session, self.session.desk
         if self.timer:
             self.timer.cancel()
+        desk.shares.take_out(self)
+        self.give_back_place()
         if session.answers.get(self.key) is self:
             del session.answers[self.key]
         if self.holds:
--- a/heathford/sessions/sharing.py
+++ b/heathford/sessions/sharing.py
@@ -1,124 +1,167 @@
 """How members and their sessions share a front that is short; no I/O.
 
-Core-stateless fair queueing (Stoica, Shenker, Zhang, 1998) over completions: each flow's rate is averaged
-with a half-life; while the front is short, a flow above the fair share is turned away with the chance 1 -
-share/rate. The fair share fills what the front lately answered in time, like water, over members; a member's
-own part is filled over its sessions in the same way. While the front is not short nobody is turned away here.
+A window bounds how many completions the front has let in that have no first token yet. What goes beyond waits
+here for a part of its latency target, then is rate-limited. A place that comes free goes to the member with
+the fewest in the window, there to its sessions in turn: a member that floods waits behind itself, and the
+decisions never see more than can be answered in time.
+
+The window's size is learned from answers, in the form of DCTCP (RFC 8257): once a round, it shrinks by the
+share of answers that were slow for their target, averaged over rounds; else it grows, if it held any back.
 """
 
-import random
-from collections.abc import Iterable, Mapping
-from math import exp2
-
-HALF_LIFE = 5.0  # s: as the decisions count what is asked and answered in time
-SHORT = 0.9  # share of what was let in that is answered in time, below which a front is short
-EVIDENCE = 8.0  # completions let in lately before any of that is believed: a few late ones are chance
-COUNTED = 2.0  # s of half-life for what is let in and answered: a storm's end must show soon
-HEADROOM = 0.75  # times what was answered in time that is let in while not all is: queues must drain
-GROWTH = 1.1  # times what is let in while nearly all of it is answered in time: to find that there is more
-FLOOR = 0.1  # share of what is asked that is let in at the least: with nothing let in nothing is learned
-AGAIN = 0.1  # s between two layings out of the shares: small beside the half-life
-LEAST = 0.01  # completions lately below which a flow is forgotten
-
-
-class Flow:
-    """What a member or a session asked lately, in completions."""
-
-    __slots__ = ("at", "half_life", "rate")
-
-    def __init__(self, now: float, half_life: float = HALF_LIFE) -> None:
-        self.rate, self.at, self.half_life = 0.0, now, half_life
-
-    def add(self, amount: float, now: float) -> None:
-        self.rate = self.lately(now) + amount
-        self.at = now
-
-    def lately(self, now: float) -> float:
-        return self.rate * exp2((self.at - now) / self.half_life)
-
-
-def fair_share(demands: Iterable[float], capacity: float) -> float:
-    """The level at which the demands, each cut to it, fill the capacity; infinite where they don't reach
-    it."""
-    left, waiting = capacity, sorted(demands)
-    for place, demand in enumerate(waiting):
-        level = left / (len(waiting) - place)
-        if demand > level:
-            return level
-        left -= demand
-    return float("inf")
-
-
-class Shares:
-    def __init__(self, seed: int) -> None:
-        self.random = random.Random(seed)
-        self.members: dict[int, Flow] = {}
-        self.sessions: dict[int, dict[object, Flow]] = {}
-        self.let_in, self.good = Flow(0.0, COUNTED), Flow(0.0, COUNTED)
-        self.short = False
-        self.laid_out = -1e9
-        self.keep: dict[int, float] = {}  # chance to be let in, by member
-        self.keep_session: dict[int, dict[object, float]] = {}
-        self.turned_away = 0
-
-    def asks(self, member: int, session: object, now: float) -> bool:
-        """Counts a completion asked for; whether it is let in."""
-        self.members.setdefault(member, Flow(now)).add(1.0, now)
-        self.sessions.setdefault(member, {}).setdefault(session, Flow(now)).add(1.0, now)
-        if now - self.laid_out >= AGAIN:
-            self.lay_out(now)
-        if self.short:
-            chance = self.keep.get(member, 1.0)
-            if chance < 1.0:
-                chance = self.keep_session.get(member, {}).get(session, chance)
-            if self.random.random() >= chance:
-                self.turned_away += 1
-                return False
-        self.let_in.add(1.0, now)
+import heapq
+from collections import deque
+from collections.abc import Hashable
+from math import ceil
+from typing import Generic, TypeVar
+
+START = 4.0  # completions in the window at first: as many may miss before the decisions turn any away
+LEAST = 2.0  # at the least: with fewer let in, little is learned
+GAIN = 0.25  # weight of one round in the share of slow answers
+ROUND = 8  # answers that a round needs at least: one slow of two or three is chance
+CHANCE = 0.1  # share of slow answers in a round that may be chance
+GROWTH = 0.05  # share by which a window grows in a good round beyond the size at which it last shrank
+BACK = 0.25  # share of the way back there that it goes in a good round
+SLOW = 0.25  # share of its latency target after which a first token is slow: others' targets may be tighter
+PACE = 0.6  # share of the time wanted for its tokens beyond which a stream is slow
+QUIET = 1.5  # times the usual part in quiet times that is slow, where that is more: a target may be tight
+QUIET_GAIN = 0.05  # weight of one answer in the usual part: twenty count
+USED = 0.5  # share of the window in use from which its answers tell anything of it
+WAIT = 0.4  # share of its latency target that a completion waits here: it must still be read in time
+
+
+class Window:
+    """How many may be out without a first token."""
+
+    def __init__(self) -> None:
+        self.size = START
+        self.top = float("inf")  # the size at which it last shrank
+        self.slow_share = 1.0
+        self.usual = SLOW / QUIET
+        self.begin_round(float("-inf"))
+
+    def begin_round(self, now: float) -> None:
+        self.since, self.answers, self.slow = now, 0, 0
+        self.used, self.held_back = 0, False
+
+    def counts(self, slow: bool) -> None:
+        self.answers += 1
+        self.slow += slow
+
+    def answered(self, let_in: float, part: float, out: int, now: float) -> None:
+        """One let in then got its first token after `part` of its latency target; infinite: none in time."""
+        if out <= USED * self.size:
+            self.usual += QUIET_GAIN * (min(part, 1.0) - self.usual)
+        self.counts(part > min(1.0, max(SLOW, QUIET * self.usual)))
+        self.used = max(self.used, out)
+        if let_in < self.since or self.answers < ROUND:
+            return
+        found = self.slow / self.answers
+        self.slow_share += GAIN * (found - self.slow_share)
+        if found > CHANCE and self.used > USED * self.size:
+            self.top = self.size
+            self.size = max(LEAST, self.size * (1.0 - self.slow_share / 2))
+        elif found <= CHANCE and self.held_back:
+            way = self.top - self.size  # by half a round until it has shrunk once
+            self.size += max(GROWTH * self.size, min(BACK * way, self.size / 2))
+        self.begin_round(now)
+
+
+Item = TypeVar("Item", bound=Hashable)
+
+
+class Member(Generic[Item]):
+    __slots__ = ("out", "sessions", "turn")
+
+    def __init__(self) -> None:
+        self.out = 0  # in the window
+        self.turn = 0  # when it last got a place
+        self.sessions: dict[object, deque[Item]] = {}  # waiting; the first is next
+
+
+class Shares(Generic[Item]):
+    def __init__(self) -> None:
+        self.window = Window()
+        self.members: dict[int, Member[Item]] = {}  # with any in the window or waiting
+        self.waiting: dict[Item, tuple[int, object]] = {}
+        self.until: list[tuple[float, int, Item]] = []
+        self.out = self.count = self.turned_away = 0
+
+    def asks(self, member: int, session: object, item: Item, until: float) -> None:
+        """It waits until then; next() says when it is let in, late() that it never is."""
+        flow = self.members.setdefault(member, Member())
+        flow.sessions.setdefault(session, deque()).append(item)
+        self.waiting[item] = member, session
+        self.count += 1
+        heapq.heappush(self.until, (until, self.count, item))
+
+    def next(self) -> Item | None:
+        """Lets the next in, where there is room."""
+        waiting = [m for m in self.members.values() if m.sessions]
+        if not waiting:
+            return None
+        flow = min(waiting, key=lambda m: (m.out, m.turn))
+        # Each member has its even part of the window, whoever fills the rest: it need not wait for a place.
+        part = self.window.size / len(self.members)
+        if self.out >= int(self.window.size) and flow.out >= (ceil(part) if part >= 1.0 else 0):
+            self.window.held_back = True
+            return None
+        session = next(iter(flow.sessions))
+        queue = flow.sessions.pop(session)
+        item = queue.popleft()
+        if queue:
+            flow.sessions[session] = queue
+        del self.waiting[item]
+        self.count += 1
+        flow.turn = self.count
+        flow.out += 1
+        self.out += 1
+        return item
+
+    def late(self, now: float) -> list[Item]:
+        """Takes out those that have waited as long as they may."""
+        found = []
+        while self.until and (self.until[0][0] <= now or self.until[0][2] not in self.waiting):
+            item = heapq.heappop(self.until)[2]
+            if self.take_out(item):
+                found.append(item)
+        self.turned_away += len(found)
+        return found
+
+    @property
+    def due(self) -> float | None:
+        """When late() has something to say, at the latest."""
+        return self.until[0][0] if self.until else None
+
+    def take_out(self, item: Item) -> bool:
+        """One that waits is wanted no more; False where it doesn't wait."""
+        place = self.waiting.pop(item, None)
+        if place is None:
+            return False
+        member, session = place
+        flow = self.members[member]
+        flow.sessions[session].remove(item)
+        if not flow.sessions[session]:
+            del flow.sessions[session]
+        self.prune(member)
         return True
 
-    def answered(self, now: float) -> None:
-        """One that was let in had its first token in time."""
-        self.good.add(1.0, now)
-
-    def left(self, now: float) -> None:
-        """The client of one let in went before its first token: that tells nothing."""
-        self.let_in.add(-1.0, now)
-
-    def lay_out(self, now: float) -> None:
-        self.laid_out = now
-        self.prune(now)
-        let_in, good = max(0.0, self.let_in.lately(now)), self.good.lately(now)
-        demand = {member: flow.lately(now) for member, flow in self.members.items()}
-        all_good = good >= SHORT * let_in
-        total = sum(demand.values())
-        # What is let in and good is counted with a shorter half-life than demands: brought to theirs here.
-        lately = GROWTH * let_in if all_good else HEADROOM * good
-        capacity = max(lately * HALF_LIFE / COUNTED, FLOOR * total)
-        if let_in >= EVIDENCE and not all_good:
-            self.short = True
-        elif total <= capacity or let_in < EVIDENCE:
-            self.short = False  # all that is asked for fits: let go at once
-        if not self.short:
-            return
-        level = fair_share(demand.values(), capacity)
-        self.keep, self.keep_session = {}, {}
-        for member, asked in demand.items():
-            self.keep[member] = min(1.0, level / asked)
-            if asked > level:
-                flows = {session: flow.lately(now) for session, flow in self.sessions[member].items()}
-                part = fair_share(flows.values(), level)
-                self.keep_session[member] = {s: min(1.0, part / max(f, LEAST)) for s, f in flows.items()}
-
-    def prune(self, now: float) -> None:
-        for member, flows in list(self.sessions.items()):
-            for session, flow in list(flows.items()):
-                if flow.lately(now) < LEAST:
-                    del flows[session]
-            if not flows:
-                del self.sessions[member]
-                self.members.pop(member, None)
-
-    def shares(self) -> Mapping[int, float]:
-        """The chance of each member to be let in; empty while the front is not short."""
-        return dict(self.keep) if self.short else {}
+    def answered(self, member: int, let_in: float, part: float, now: float) -> None:
+        """One that was let in has its first token, after `part` of its target; infinite: it has none."""
+        self.window.answered(let_in, part, self.out, now)
+        self.gone(member)
+
+    def streamed(self, part: float) -> None:
+        """A whole answer took so much of the time wanted for its tokens: too many beside it are slow too."""
+        self.window.counts(part > PACE)
+
+    def gone(self, member: int) -> None:
+        """One that was let in ended otherwise, which tells nothing of room."""
+        self.out -= 1
+        self.members[member].out -= 1
+        self.prune(member)
+
+    def prune(self, member: int) -> None:
+        flow = self.members[member]
+        if not flow.out and not flow.sessions:
+            del self.members[member]
--- a/heathford/sessions/socket.py
+++ b/heathford/sessions/socket.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import orjson
 import structlog
 from tornado.iostream import StreamClosedError
 from tornado.web import Application
@@ -14,6 +15,7 @@
 from heathford.sessions.protocol import StrictProtocol
 from heathford.sessions.rpc import Rpc
 from heathford.sessions.session import Desk
+from heathford.sessions.versions import BEFORE, PREFIX, VersionError, of_subprotocols
 
 GOING_AWAY, TRY_LATER = 1001, 1013  # close codes of RFC 6455 and its registry
 
@@ -24,6 +26,7 @@
     def initialize(self, sockets: "Sockets") -> None:
         self.sockets = sockets
         self.rpc: Rpc | None = None
+        self.version = BEFORE
         self.life: Life | None = None
         self.watching = False
         self.reading: asyncio.Future[None] | None = None  # while the client is kept from sending more
@@ -33,6 +36,23 @@
             return None
         return StrictProtocol(self, False, self.sockets.params(self))
 
+    def prepare(self) -> None:
+        """Refuses versions that are not served before the handshake, where it can still say which are."""
+        offered = [name.strip() for value in self.request.headers.get_list("Sec-WebSocket-Protocol")
+                   for name in value.split(",")]
+        try:
+            self.version = of_subprotocols(offered)
+        except VersionError as problem:
+            self.set_status(400)
+            self.set_header("Content-Type", "application/problem+json")
+            self.finish(orjson.dumps({
+                "type": "about:blank", "title": "Bad Request", "status": 400, "detail": str(problem),
+                "served": problem.served}))
+
+    def select_subprotocol(self, subprotocols: list[str]) -> str | None:
+        name = f"{PREFIX}{self.version}"
+        return name if name in subprotocols else None
+
     def check_origin(self, origin: str) -> bool:
         return True  # editors' pages come from hosts of their own; no cookie is carried that could be misused
 
@@ -133,7 +153,7 @@
         self.desk.room.sessions += 1
         self.open[socket] = None
         socket.life = Life(self.patience, self.now())
-        rpc = Rpc(self.desk, socket, self.desk.next_name())
+        rpc = Rpc(self.desk, socket, self.desk.next_name(), socket.version)
         self.look_at(socket)
         return rpc
 
--- a/heathford/standin/process.py
+++ b/heathford/standin/process.py
@@ -10,6 +10,7 @@
 from heathford.standin.engine import Engine
 from heathford.standin.registry import Registry
 from heathford.standin.server import Server
+from heathford.tls.files import keys_of
 
 
 async def until_told() -> None:
@@ -33,6 +34,16 @@
         kind.role, name, rack.zone, rack.name, address, kind.memory,
         script.all("workload")[0].bytes_per_token, safety.warm_after, safety.cold_from, safety.cold_multiple,
         safety.cold_window, **kind.stand_in)
+    serve, fetch = keys_of(script, "stand_in_tls"), keys_of(script, "engine_tls")
+    if serve:
+        serve.look()
+        if not serve.context:
+            raise RuntimeError("the stand-ins' keys can't be used")
+        among = None
+        if fetch:
+            among = fetch.made()
+            among.check_hostname = False  # states are fetched by address; the authority is still checked
+        engine.secure(serve.context, among)
     if not warm:
         await engine.restart()
     else:
--- a/heathford/standin/server.py
+++ b/heathford/standin/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import ssl
 import struct
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -55,8 +56,10 @@
 class Server(TCPServer):
     """Calls `answer` for each request, one after the other on a connection."""
 
-    def __init__(self, answer: Callable[[Exchange], Awaitable[None]]) -> None:
-        super().__init__()
+    def __init__(
+        self, answer: Callable[[Exchange], Awaitable[None]], tls: ssl.SSLContext | None = None
+    ) -> None:
+        super().__init__(ssl_options=tls)
         self.answer = answer
         self.streams: dict[IOStream, None] = {}
         self.silent = False
--- /dev/null
+++ b/heathford/terminal/__init__.py
@@ -0,0 +1,1 @@
+"""The terminal interface of `heathford try`; needs the extra `terminal`."""
--- /dev/null
+++ b/heathford/terminal/app.py
@@ -0,0 +1,134 @@
+"""Several prompts side by side, their streams, final answers and guidance; by Textual."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from textual.app import App, ComposeResult
+from textual.binding import Binding
+from textual.containers import Grid, VerticalScroll
+from textual.widgets import Footer, Header, Input, Static
+
+from heathford.client.answers import CompletionError
+from heathford.client.base import Client
+from heathford.terminal.board import Board, Panel, prompts_of
+
+MOST = 12  # panels shown: more can't be read side by side
+
+
+class PanelView(VerticalScroll):
+    """A panel on the screen."""
+
+    def __init__(self, panel: Panel) -> None:
+        super().__init__()
+        self.panel = panel
+        self.heading = Static(classes="heading", markup=False)
+        self.prompt = Static(f"> {panel.prompt}", classes="prompt", markup=False)
+        self.text = Static("", classes="text", markup=False)
+        self.end = Static("", classes="end", markup=False)
+
+    def compose(self) -> ComposeResult:
+        yield self.heading
+        yield self.prompt
+        yield self.text
+        yield self.end
+
+    def on_mount(self) -> None:
+        self.show()
+
+    def show(self) -> None:
+        panel = self.panel
+        self.heading.update(panel.heading)
+        self.text.update(panel.text)
+        self.end.update(f"{panel.final}: {panel.guidance}" if panel.over else "")
+        self.set_class(panel.over and panel.final != "finished", "failed")
+        self.set_class(panel.final == "finished", "finished")
+
+
+class TryApp(App[None]):
+    """make: the client, made once the terminal's loop runs."""
+
+    CSS = """
+    Grid { grid-size: 3; grid-gutter: 1; }
+    PanelView { border: round $primary; height: 100%; padding: 0 1; }
+    PanelView.finished { border: round $success; }
+    PanelView.failed { border: round $error; }
+    .heading { text-style: bold; }
+    .prompt { color: $text-muted; }
+    .end { text-style: italic; }
+    """
+    BINDINGS = [  # noqa: RUF012 - Textual's own form
+        Binding("ctrl+x", "cancel", "Cancel all"), Binding("ctrl+l", "clear", "Clear"),
+        Binding("ctrl+q", "quit", "Quit")]
+
+    def __init__(
+        self, make: Callable[[], Client], models: list[str], max_tokens: int, timeout: float
+    ) -> None:
+        super().__init__()
+        self.make, self.models, self.max_tokens, self.timeout = make, models, max_tokens, timeout
+        self.board = Board(MOST)
+        self.views: dict[int, PanelView] = {}
+        self.asking: dict[int, asyncio.Task[None]] = {}
+        self.client: Client | None = None
+
+    def compose(self) -> ComposeResult:
+        yield Header()
+        yield Grid()
+        hint = f"a prompt, or several: one || two; workloads: {', '.join(self.models)}"
+        yield Input(placeholder=hint)
+        yield Footer()
+
+    def on_mount(self) -> None:
+        self.title = "heathford"
+        self.client = self.make()
+        self.sub_title = self.board.summary
+        self.query_one(Input).focus()
+
+    async def on_unmount(self) -> None:
+        for task in list(self.asking.values()):
+            task.cancel()
+        await asyncio.gather(*self.asking.values(), return_exceptions=True)
+        if self.client:
+            await self.client.close()
+
+    async def on_input_submitted(self, event: Input.Submitted) -> None:
+        event.input.value = ""
+        for model, prompt in prompts_of(event.value, self.models):
+            await self.ask(model, prompt)
+
+    async def ask(self, model: str, prompt: str) -> None:
+        panel, gone = self.board.ask(model, prompt, time.monotonic())
+        if gone:
+            await self.views.pop(gone.number).remove()
+        view = self.views[panel.number] = PanelView(panel)
+        await self.query_one(Grid).mount(view)
+        task = asyncio.get_running_loop().create_task(self.run_one(panel, view))
+        self.asking[panel.number] = task
+        task.add_done_callback(lambda _: self.asking.pop(panel.number, None))
+
+    async def run_one(self, panel: Panel, view: PanelView) -> None:
+        assert self.client
+        self.sub_title = self.board.summary
+        try:
+            stream = self.client.stream(
+                panel.model, panel.prompt, max_tokens=self.max_tokens, timeout=self.timeout)
+            async for part in stream:
+                panel.says(part, time.monotonic())
+                view.show()
+            panel.finished(await stream.result(), time.monotonic())
+        except CompletionError as problem:
+            panel.failed(problem, time.monotonic())
+        except asyncio.CancelledError:
+            panel.cancelled(time.monotonic())
+        view.show()
+        self.sub_title = self.board.summary
+
+    def action_cancel(self) -> None:
+        for task in list(self.asking.values()):
+            task.cancel()
+
+    async def action_clear(self) -> None:
+        for panel in [p for p in self.board.panels if p.over]:
+            self.board.panels.remove(panel)
+            await self.views.pop(panel.number).remove()
+        self.sub_title = self.board.summary
--- /dev/null
+++ b/heathford/tls/__init__.py
@@ -0,0 +1,1 @@
+"""Keys for TLS: checked before they are used, changed in service, and watched as they age."""
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -232,6 +232,28 @@
     play(scene)
 
 
+@pytest.mark.parametrize("figures, before", [({"most_out": 1, "most_waiting": 4}, 1), ({}, 16)])
+def test_two_with_one_key_that_both_waited_are_dispatched_once(figures: dict[str, Any], before: int) -> None:
+    """Each was new when it was asked: one waits in its session, or both for their share of the front."""
+    async def scene(served: Served, client: ClientConnection) -> None:
+        served.link.held = served.link.keep = True
+        async with connect(served.url) as second:
+            for one in (client, second):
+                for key in range(before if one is client or figures else 0):
+                    await one.send(create(key, timeout=3.0))
+                await one.send(create("k", idempotency_key="k", timeout=3.0, max_tokens=7))
+            while len(served.desk.shares.waiting) + sum(
+                    len(s.rpc.session.waiting.heap) for s in served.sockets.open if s.rpc) < 2:
+                await asyncio.sleep(0.001)
+            served.link.held = False
+            for call in list(served.link.calls):
+                call.go()
+            finals = [await text_of(client, "k"), await text_of(second, "k")]
+            assert finals[0] == finals[1] and finals[0][0] == "ttttttt"
+            assert sum(c.body["max_tokens"] == 7 for c in served.link.calls) == 2  # a read and a write
+    play(scene, **figures)
+
+
 @pytest.mark.parametrize("effect, dispatches, tallies", [
     (Effect.IDEMPOTENT, 4, (2, 1)), (Effect.NON_IDEMPOTENT, 2, (1, 0)), (Effect.TOKENED, 2, (1, 0))])
 def test_a_client_that_comes_again(effect: Effect, dispatches: int, tallies: tuple[int, int]) -> None:
