--- /dev/null
+++ b/benchmarks/mutated_clients.py
@@ -0,0 +1,94 @@
+"""Takes out, one at a time, each rule by which the client libraries try again: the tests must catch each.
+
+    python -m benchmarks.mutated_clients [AT_ONCE]
+"""
+
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+ROOT = Path(__file__).parent.parent
+RETRY, BASE, SOCKET, HTTP = (f"heathford/client/{name}.py" for name in ("retry", "base", "websocket", "http"))
+# What is taken out, the file, the text there, what stands instead.
+MUTANTS = [
+    ("what may run once and has no key is not sent again after a loss", RETRY,
+     "            if not self.keyed:\n                return None\n", ""),
+    ("after a loss, what may run once is asked for at its front alone", RETRY,
+     "self.unknown_at = self.front  # only", "self.unknown_at = None  # only"),
+    ("what may run once is not sent again after an abort", RETRY,
+     "trouble is Trouble.ABORTED and not self.repeatable", "False"),
+    ("a front's never is followed", RETRY, 'said == "never" and trouble is Trouble.ABORTED', "False"),
+    ("a front's here is followed", RETRY, 'said == "here" and trouble is Trouble.ABORTED', "False"),
+    ("when to come back is honoured", RETRY, "            wait = retry_after\n", "            wait = 0.0\n"),
+    ("waits have jitter", RETRY, "wait *= 1.0 + JITTER * self.fronts.random.random()", "wait *= 1.0"),
+    ("the budget bounds tries again", RETRY, "and not self.budget.spend()", "and False"),
+    ("credit is bounded", RETRY, "min(CREDIT, self.credit + self.share)", "self.credit + self.share"),
+    ("no try begins past the deadline", RETRY, "if now + wait + LEAST >= self.until:", "if False:"),
+    ("a front that can't be reached is left", RETRY,
+     "self.unreached += 1\n            if self.unknown_at is None:", "self.unreached += 1\n            if False:"),
+    ("a front that refuses is left", RETRY,
+     "            wait = retry_after\n            if self.unknown_at is None:",
+     "            wait = retry_after\n            if False:"),
+    ("waits grow while none can be reached", RETRY, "BACKOFF * 2 ** min(self.unreached, 10)", "BACKOFF"),
+    ("there is a wait once none can be reached", RETRY,
+     "if self.fronts.all_bad(now) or self.unknown_at is not None:", "if False:"),
+    ("a front that was bad is tried last", RETRY,
+     "        self.bad_until[front] = now + SET_ASIDE\n", "        self.bad_until[front] = now - 1.0\n"),
+    ("a front that was good is asked next", RETRY, "        self.current = front\n\n", "\n"),
+    ("text told again is passed over", BASE, "self.skip = len(self.text)", "self.skip = 0"),
+    ("another completion's text does not go on where one broke off", BASE,
+     "if self.completion and completion != self.completion and self.text:", "if False:"),
+    ("what may have run is not called rate-limited", BASE,
+     "turned_away is not None and (trouble is Trouble.REFUSED or not ran)", "turned_away is not None"),
+    ("what may have run is not called unsent", BASE, "        if not ran:\n", "        if True:\n"),
+    ("leaving a session's stream cancels it", SOCKET, "if not ended and not session.lost:", "if False:"),
+    ("a session that is told to go takes nothing new", SOCKET,
+     "self.going = True  # what", "self.going = False  # what"),
+    ("a session that refuses is one not reached", SOCKET, "refused = session.socket.close_code == 1013",
+     "refused = False"),
+    ("leaving an HTTP stream closes it", HTTP, "stream.close()  # so that the front sees", "pass  #"),
+    ("a stream cut off is not whole", HTTP, "        if not whole:\n", "        if False:\n"),
+    ("each completion has its key over HTTP", HTTP, '"Idempotency-Key": params["idempotency_key"], ', ""),
+]
+
+
+def caught(mutant: tuple[str, str, str, str]) -> tuple[str, str]:
+    """The test that caught it, or nothing."""
+    name, file, old, new = mutant
+    with tempfile.TemporaryDirectory() as folder:
+        tree = Path(folder)
+        for part in ("heathford", "tests", "pyproject.toml"):
+            source = ROOT / part
+            (shutil.copytree if source.is_dir() else shutil.copy)(source, tree / part)
+        path = tree / file
+        text = path.read_text()
+        if text.count(old) != 1:
+            return name, f"NOT APPLIED: its text stands {text.count(old)} times in {file}"
+        path.write_text(text.replace(old, new))
+        try:
+            run = subprocess.run(
+                [sys.executable, "-m", "pytest", "-x", "-q", "-p", "no:cacheprovider",
+                 "tests/test_clients.py", "tests/test_service.py", "-k", "not before and not try_shows"],
+                cwd=tree, capture_output=True, text=True, timeout=240.0)
+        except subprocess.TimeoutExpired:
+            return name, "the tests hang"
+        failed = [x for x in run.stdout.splitlines() if x.startswith("FAILED")]
+        return name, failed[0].split("::")[1].split(" - ")[0] if failed else ""
+
+
+def main() -> int:
+    missed = 0
+    with ThreadPoolExecutor(int(sys.argv[1]) if len(sys.argv) > 1 else 4) as pool:
+        for name, by in pool.map(caught, MUTANTS):
+            good = bool(by) and not by.startswith("NOT")
+            missed += not good
+            print(f"{'caught' if good else 'MISSED'}: {name}{f': {by}' if by else ''}", flush=True)
+    print(f"{len(MUTANTS) - missed} of {len(MUTANTS)} caught")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/heathford/client/base.py
+++ b/heathford/client/base.py
@@ -14,8 +14,10 @@
 class TroubleError(Exception):
     """How a try came to nothing."""
 
-    def __init__(self, trouble: Trouble, why: str, retry_after: float = 0.0, said: str = "") -> None:
+    def __init__(self, trouble: Trouble, why: str, retry_after: float = 0.0, said: str = "",
+                 completion: str = "") -> None:
         super().__init__(why)
+        self.completion = completion  # as the front calls it, where it took one
         self.trouble, self.retry_after = trouble, retry_after
         self.said = said if said in SAID else ""  # what later versions may say is passed over
 
@@ -57,7 +59,9 @@
 
     async def complete(self, model: str, prompt: str | list[int], **more: Any) -> Finished:
         """The whole answer. Raises RateLimited, Aborted, BadRequest or NoFront."""
-        return await self.stream(model, prompt, **more).result()
+        stream = self.stream(model, prompt, **more)
+        stream.whole = True
+        return await stream.result()
 
     @abstractmethod
     async def once(
@@ -79,6 +83,7 @@
         self.completion = ""
         self.tries = 0
         self.parts: asyncio.Queue[str | None] = asyncio.Queue()
+        self.whole = False  # the caller sees nothing before the end
         self.skip = 0  # characters that a joined answer tells again
         self.task: asyncio.Task[Finished] | None = None
 
@@ -111,7 +116,10 @@
 
     def tell(self, completion: str, text: str) -> None:
         """Text of the completion that is out. One joined again is told from its start: what the caller has is
-        passed over. Another completion's text can't go on where the first broke off."""
+        passed over. Another completion's text can't go on where the first broke off; it can take its place
+        where the caller has seen nothing."""
+        if self.whole and completion != self.completion:
+            self.text, self.skip = "", 0
         if self.completion and completion != self.completion and self.text:
             raise Aborted("broke off, and was begun anew elsewhere", self.text, self.tries)
         self.completion = completion
@@ -142,7 +150,7 @@
                     problem.trouble, str(problem), problem.retry_after, problem.said)
             ran = ran or trouble in (Trouble.LOST, Trouble.ABORTED)
             turned_away = wait if trouble is Trouble.REFUSED else turned_away
-            if self.text and trouble is not Trouble.LOST:
+            if self.text and trouble is not Trouble.LOST and not (self.whole and self.repeatable):
                 raise Aborted(why, self.text, self.tries)
             again = attempt.after(trouble, loop.time(), wait, said)
             if again is None:
--- a/heathford/client/http.py
+++ b/heathford/client/http.py
@@ -108,7 +108,7 @@
         if response.status != 200:
             self.fail(response.status, bytes(body))
         if why:
-            raise TroubleError(Trouble.ABORTED, why, said=retry)
+            raise TroubleError(Trouble.ABORTED, why, 0.0, retry, completion)
         if not whole:
             raise TroubleError(Trouble.LOST, "the stream ended without saying so")
         return completion, reason, usage
@@ -121,12 +121,12 @@
         why = str(said.get("detail") or f"status {status}") if isinstance(said, dict) else f"status {status}"
         if not isinstance(said, dict):
             said = {}
-        retry = str(said.get("retry") or "")
+        retry, completion = str(said.get("retry") or ""), str(said.get("completion") or "")
         if status == 429:
-            raise TroubleError(Trouble.REFUSED, why, float(said.get("retry_after") or 0.0), retry)
+            raise TroubleError(Trouble.REFUSED, why, float(said.get("retry_after") or 0.0), retry, completion)
         if 400 <= status < 500:
             raise BadRequest(why)
-        raise TroubleError(Trouble.ABORTED, why, said=retry)
+        raise TroubleError(Trouble.ABORTED, why, 0.0, retry, completion)
 
     async def close(self) -> None:
         for streams in self.idle.values():
--- a/heathford/client/websocket.py
+++ b/heathford/client/websocket.py
@@ -123,12 +123,13 @@
                     lambda done: done.cancelled() or done.exception())
 
     def fail(self, error: dict[str, Any]) -> None:
+        data = error.get("data") or {}
+        said, completion = str(data.get("retry") or ""), str(data.get("completion") or "")
         if error["code"] == RATE_LIMITED:
-            wait = float(error["data"].get("retry_after") or 0.0)
-            raise TroubleError(Trouble.REFUSED, error["message"], wait, str(error["data"].get("retry") or ""))
+            wait = float(data.get("retry_after") or 0.0)
+            raise TroubleError(Trouble.REFUSED, error["message"], wait, said, completion)
         if error["code"] == ABORTED:
-            said = str(error.get("data", {}).get("retry") or "")
-            raise TroubleError(Trouble.ABORTED, error["message"], said=said)
+            raise TroubleError(Trouble.ABORTED, error["message"], 0.0, said, completion)
         raise BadRequest(error["message"])
 
     async def close(self) -> None:
--- a/heathford/days/plan.py
+++ b/heathford/days/plan.py
@@ -32,6 +32,8 @@
     timeout: float | None
     retries: int
     seed: int
+    by: str  # socket: by itself; or the library that its program uses
+    retry_share: float  # of a library's budget
 
 
 def plan(loads: Sequence[Declared], seconds: float, seed: int, fronts: int) -> list[Editor]:
@@ -48,7 +50,8 @@
             text += str(min(int(chance.paretovariate(1.0)), load.texts))
             editors.append(Editor(
                 at, load.workload, load.member, chance.randrange(fronts), text if load.shared else "",
-                load.shared, turns, load.timeout, load.retries, chance.randrange(2**32)))
+                load.shared, turns, load.timeout, load.retries, chance.randrange(2**32),
+                load.by, load.retry_share))
     return sorted(editors, key=lambda e: e.at)
 
 
--- a/heathford/days/play.py
+++ b/heathford/days/play.py
@@ -12,6 +12,7 @@
 
 from heathford.days.clients import Client
 from heathford.days.faults import Faults
+from heathford.days.library import Libraries, LibraryEditor
 from heathford.days.plan import plan
 from heathford.days.recording import Recording, events
 from heathford.days.tap import Relay
@@ -74,12 +75,15 @@
             front = await deployment.start_front(
                 names.index(name), ("127.0.0.1", relays[name, ""].port), log_file, program=front_program)
             urls[names.index(name)] = front.ready["url"]
+            libraries.moved(names.index(name), front.ready["url"])
             recording.note("day", "front up", front=name)
         urls = [""] * len(names)
+        libraries = Libraries(recording, urls, names, seed)
         await asyncio.gather(*(start_front(n) for n in names))
         recording.note("day", "begin", **header(script, day, sends, seconds, seed))
         faults = Faults(deployment, recording, relays, start_front)
-        await run(script, day, seconds, seed, recording, urls, names, faults)
+        await run(script, day, seconds, seed, recording, urls, names, faults, libraries)
+        await libraries.close()
     finally:
         await deployment.end()
         for relay in relays.values():
@@ -107,19 +111,25 @@
 
 async def run(
     script: Script, day: Script, seconds: float, seed: int, recording: Recording, urls: list[str],
-    names: list[str], faults: Faults,
+    names: list[str], faults: Faults, libraries: Libraries,
 ) -> None:
     loop = asyncio.get_running_loop()
     begin = loop.time()
     timeouts = {w.name: (w.client_timeout, 2 * w.target_per_1000) for w in script.all("workload")}
+    effects = {w.name: w.effect for w in script.all("workload")}
     bytes_per_token = script.all("workload")[0].bytes_per_token
     lateness = loop.create_task(note_lateness(recording))
     trouble = [loop.create_task(faults.run(f, seconds)) for f in day.all("fault")]
     editing = []
     for number, editor in enumerate(plan(day.all("editors"), seconds, seed, len(names))):
         await asyncio.sleep(max(0.0, begin + editor.at - loop.time()))
-        client = Client(recording, editor, f"s{number}", urls, names, timeouts, bytes_per_token,
-                        time.monotonic() + begin + seconds - loop.time())
+        until = time.monotonic() + begin + seconds - loop.time()
+        if editor.by == "socket":
+            client: Client | LibraryEditor = Client(
+                recording, editor, f"s{number}", urls, names, timeouts, bytes_per_token, until)
+        else:
+            client = LibraryEditor(recording, libraries.of(editor), editor, f"s{number}", timeouts, effects,
+                                   bytes_per_token, until)
         editing.append(loop.create_task(client.live()))
     await asyncio.sleep(max(0.0, begin + seconds - loop.time()))
     done, _ = await asyncio.wait(editing) if editing else (set(), set())
--- a/heathford/days/words.py
+++ b/heathford/days/words.py
@@ -24,6 +24,8 @@
         "unfamiliar": Field(switch, needed=False, absent=False),  # never seen before this load
         "begin": Field(SHARE, needed=False, absent=0.0), "end": Field(SHARE, needed=False, absent=1.0),
         "timeout": Field(SECONDS, needed=False),
+        "by": Field(one_of("socket", "websocket library", "http library"), needed=False, absent="socket"),
+        "retry_share": Field(number(0.0, 100.0), needed=False, absent=0.2),  # of a library's budget
         "retries": Field(whole(0, 10), needed=False, absent=0),
         "leave": Field(SHARE, needed=False, absent=0.0),  # share of completions whose client goes early
         "cancel": Field(SHARE, needed=False, absent=0.0),  # share that the client cancels
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -17,7 +17,7 @@
     Aborted, BadRequest, Blocking, Finished, HttpClient, NoFront, RateLimited, WebSocketClient,
 )
 from heathford.client.base import Client
-from heathford.client.retry import CREDIT, Attempt, Budget, Fronts, Trouble
+from heathford.client.retry import BACKOFF, BACKOFF_MOST, CREDIT, JITTER, Attempt, Budget, Fronts, Trouble
 from heathford.fuzz.sessions import Served
 from heathford.interface import Effect
 
@@ -286,6 +286,60 @@
     assert again <= 0.2 * 1000 + CREDIT and again > 150
 
 
+def test_waits_grow_differ_and_end_once_a_front_is_there() -> None:
+    choice = Fronts(2, 1)
+    choice.order, choice.current = [0, 1], 0
+    attempt = Attempt(choice, Budget(0.2), 100.0, True, True)
+    found = [attempt.after(Trouble.UNREACHED, 10.0 + n / 100) for n in range(8)]
+    waits = [again.wait for again in found if again]
+    assert waits[0] == 0.0 < waits[1] < waits[2] < waits[3]
+    assert max(waits) <= BACKOFF_MOST * (1 + JITTER) and waits[2] % BACKOFF != 0.0
+    refused = [
+        Attempt(choice, Budget(0.2), 100.0, True, True).after(Trouble.REFUSED, 20.0, 1.0) for _ in range(2)]
+    assert refused[0] and refused[1] and refused[0].wait != refused[1].wait
+
+
+def test_a_front_that_was_good_is_asked_next_and_one_that_was_bad_last() -> None:
+    choice = Fronts(3, 1)
+    choice.order, choice.current = [0, 1, 2], 0
+    assert choice.bad(0, 10.0) == 1 and choice.bad(1, 10.1) == 2 and choice.bad(2, 10.2) == 0
+    choice.good(2)
+    assert Attempt(choice, Budget(0.2), 100.0, True, True).front == 2
+    assert choice.bad(2, 10.3) == 0 and choice.bad(0, 11.05) == 1  # it is a second ago that 0 and 1 were bad
+
+
+def test_credit_is_not_saved_up_for_a_storm() -> None:
+    budget = Budget(0.2)
+    for _ in range(1000):
+        budget.first()
+    assert sum(budget.spend() for _ in range(100)) == CREDIT
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_a_whole_answer_is_begun_anew_where_nothing_was_seen(fleet: Fleet, kind: str) -> None:
+    async def scene(client: Client, fronts: list[Served]) -> None:
+        task = asyncio.ensure_future(client.complete("w", "x" * 400, max_tokens=20, timeout=5.0))
+        while not fronts[0].link.calls or not fronts[0].link.calls[0].given:
+            await asyncio.sleep(0.001)
+        fleet.vanish(fronts[0])
+        found = await task
+        assert found.text == "t" * 20 and found.tries > 1 and fronts[1].core.tally.finished == 1
+    two_fronts(fleet, kind, scene)
+
+
+def test_a_session_that_is_told_to_go_gets_nothing_new(fleet: Fleet) -> None:
+    async def scene(client: Client, fronts: list[Served]) -> None:
+        assert (await client.complete("w", "x", max_tokens=2)).tries == 1
+        fleet.call(lambda: setattr(fronts[0].sockets, "window", 30.0))
+        fleet.call(fronts[0].sockets.stop)
+        while not any(s.going for s in client.sessions.values()):  # type: ignore[attr-defined]
+            await asyncio.sleep(0.001)
+        assert (await client.complete("w", "x", max_tokens=2)).text == "tt"
+        assert fronts[1].core.tally.finished == 1 and fronts[0].desk.tries.first == 1
+        assert fronts[0].desk.tries.again == 0
+    two_fronts(fleet, "websocket", scene)
+
+
 def test_no_try_is_begun_past_the_callers_deadline() -> None:
     attempt = Attempt(Fronts(2, 1), Budget(1.0), 10.0, True, True)
     assert attempt.after(Trouble.REFUSED, 9.0, 2.0) is None and attempt.after(Trouble.LOST, 9.99) is None
