--- a/tests/keys.py
+++ b/heathford/standin/authority.py
@@ -1,4 +1,4 @@
-"""Keys and certificates made for a test."""
+"""A stand-in authority: keys and certificates for tests and local deployments, for no other use."""
 
 from datetime import UTC, datetime, timedelta
 from pathlib import Path
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -20,7 +20,7 @@
 from heathford.standin.server import Exchange, Server
 from heathford.tls.files import Keys, key_mistakes
 from heathford.tls.keys import REMIND, WARN, Pem, Purpose, Step, Turnover, faults
-from keys import DAY, NOW, Authority, put
+from heathford.standin.authority import DAY, NOW, Authority, put
 
 CA, OTHER, OLD = Authority(), Authority(), Authority(NOW - 30 * DAY, NOW - DAY)
 GOOD, SECOND = CA.issue(), CA.issue()
