A member well under its even part does not wait for its share

Cause: under a flood the other member's completions that came close together waited for places that the flood held, and were refused: two or three in a hundred.

Change: who asks under half an even part of what is let in lately goes in at once; it is not what fills the front. The window reacts to streams off their pace too.

--- a/heathford/sessions/session.py
+++ b/heathford/sessions/session.py
@@ -76,7 +76,7 @@
                 self.share_again = False
                 for answer in self.shares.late(self.now()):
                     answer.turned_away()
-                while (let_in := self.shares.next()) is not None:
+                while (let_in := self.shares.next(self.now())) is not None:
                     let_in.begin()
         finally:
             self.sharing = False
@@ -151,7 +151,7 @@
         self.out += 1
         answer.started = True
         until = min(now + WAIT * answer.target, answer.due - LAST_CALL)
-        desk.shares.asks(answer.asked["member"], self.name, answer, until)
+        desk.shares.asks(answer.asked["member"], self.name, answer, now, until)
         desk.share()
 
     def next(self) -> None:
@@ -282,7 +282,8 @@
             return
         desk, let_in, self.let_in = self.session.desk, self.let_in, None
         if part is None or self.due - self.received < self.target:
-            desk.shares.gone(self.asked["member"])  # nor does a client with little time tell of room
+            # Nor does a client with little time tell of room.
+            desk.shares.gone(self.asked["member"], desk.now())
         else:
             desk.shares.answered(self.asked["member"], let_in, part, desk.now())
         desk.share()
@@ -356,7 +357,7 @@
         session, desk = self.session, self.session.desk
         if self.timer:
             self.timer.cancel()
-        desk.shares.take_out(self)
+        desk.shares.take_out(self, desk.now())
         self.give_back_place()
         if session.answers.get(self.key) is self:
             del session.answers[self.key]
