--- a/heathford/cli/main.py
+++ b/heathford/cli/main.py
@@ -276,5 +276,62 @@
     sys.exit(1 if asyncio.run(run(seconds, seed, keep, click.echo)) else 0)
 
 
+@cli.group()
+def store() -> None:
+    """A front's store, while no front has it open."""
+
+
+FOLDER = click.argument("folder", type=click.Path(path_type=Path))
+
+
+def store_files(folder: Path) -> Any:
+    from heathford.store.files import LockedError
+    from heathford.store.tools import opened
+    try:
+        return opened(folder)
+    except (LockedError, OSError) as problem:
+        raise click.ClickException(str(problem)) from None
+
+
+@store.command("check")
+@FOLDER
+@click.option("--repair", is_flag=True, help="Cuts off a torn end. Damage is never touched.")
+def store_check(folder: Path, repair: bool) -> None:
+    """Tells damage from a torn end; exits 0 whole, 1 torn, 2 damaged."""
+    from heathford.store.tools import check as run
+    sys.exit(run(store_files(folder), repair, click.echo))
+
+
+@store.command("stat")
+@FOLDER
+def store_stat(folder: Path) -> None:
+    """What is in it, by name space, and how much disk that takes."""
+    from heathford.store.tools import stat
+    click.echo(orjson.dumps(stat(store_files(folder)), option=orjson.OPT_INDENT_2).decode())
+
+
+@store.command("dump")
+@FOLDER
+@click.option("--space", default="", help="Only this name space.")
+def store_dump(folder: Path, space: str) -> None:
+    """Entries in order, a line of JSON each."""
+    from heathford.store.tools import dump
+    for entry in dump(store_files(folder), space):
+        click.echo(orjson.dumps(entry).decode())
+
+
+@store.command("compact")
+@FOLDER
+def store_compact(folder: Path) -> None:
+    """Writes what is there anew and drops the log before it."""
+    from heathford.store.journal import DamageError, JournalError
+    from heathford.store.tools import compact
+    try:
+        before, after = compact(store_files(folder))
+    except (DamageError, JournalError) as problem:
+        raise click.ClickException(str(problem)) from None
+    click.echo(f"{before} bytes before, {after} after")
+
+
 if __name__ == "__main__":
     cli()
