A front keeps identities, final answers and counts in its store

Need: after a restart a repeat was a new completion, also where that does harm, and counts began at nothing.

Change: what must not run twice is on disk as out before it is first dispatched; after a restart a repeat gets the same final answer, or an abort that says why. Counts stand in periods and totals that add up across restarts. Where the store is gone or slow the script's rule holds: refuse, or serve without memory.

--- a/heathford/front/process.py
+++ b/heathford/front/process.py
@@ -14,6 +14,7 @@
 from heathford.completions.handler import routes
 from heathford.core.core import Core
 from heathford.engines.link import EngineLink
+from heathford.front.memory import Memory
 from heathford.fleet.follow import Follower
 from heathford.fleet.registry import Registry
 from heathford.interface import Effect, Group, Kind, Role, Workload
@@ -86,6 +87,11 @@
             self.keys.changed = self.serve_with
         if self.engine_keys:
             self.engine_keys.changed = self.ask_with
+        self.desk, self.come_back = desk, figures.come_back
+        kept = script.all("store")
+        self.folder = script.path.parent / kept[0].folder / self.declared.name if kept else None
+        self.serves_without = bool(kept) and kept[0].without == "serve"
+        self.memory: Memory | None = None
         self.stop_within = figures.stop_within
         self.stopped = asyncio.Event()
         self.port = 0
@@ -96,6 +102,12 @@
         self.following = loop.create_task(self.registry.run())
         self.watching = [loop.create_task(k.watch()) for k in (self.keys, self.engine_keys) if k]
         await self.registry.told.wait()
+        if self.folder:
+            memory = self.memory = await Memory.open(self.folder, self.come_back, self.serves_without)
+            restored = memory.restore(self.desk.identities, loop.time())
+            await memory.begin(self.core.tally)
+            self.desk.memory = memory
+            log.info("store open", start=memory.start, completions=restored)
         sockets = bind_sockets(self.declared.port, self.declared.address, backlog=1024)
         self.server.add_sockets(sockets)
         self.port = sockets[0].getsockname()[1]
@@ -147,6 +159,8 @@
             task.cancel()
         self.link.stop()
         await self.server.close_all_connections()
+        if self.memory:
+            await self.memory.close(self.core.tally)
         tally = self.core.tally
         log.info("stopped", taken=tally.taken, finished=tally.finished, rate_limited=tally.rate_limited,
                  aborted=tally.aborted, left=tally.left,
--- a/heathford/identity/identities.py
+++ b/heathford/identity/identities.py
@@ -52,6 +52,14 @@
         if found:
             self.ended[found[1]][member, key] = now + self.keep
 
+    def restore(
+        self, member: int, key: str, body: bytes, effect: Effect, shared: Shared, until: float
+    ) -> None:
+        """One that an earlier start has kept; in the order of `until`."""
+        if self.make_room():
+            self.known[member, key] = body, effect, shared
+            self.ended[effect][member, key] = until
+
     def drop(self, member: int, key: str) -> None:
         """Nothing is out of it any more and it may run again: a repeat is a new one."""
         found = self.known.pop((member, key), None)
--- a/heathford/identity/shared.py
+++ b/heathford/identity/shared.py
@@ -15,6 +15,8 @@
 
     def __init__(self, ended: Callable[[], None] = lambda: None) -> None:
         self.taken: Taken | None = None
+        self.name = ""  # as clients are told it, once it is taken
+        self.told: Mapping[str, Any] = {}  # how it ended, in plain values
         self.listeners: dict[Sink, None] = {}
         self.parts: list[str] = []
         self.final: Callable[[Sink], None] | None = None
@@ -40,8 +42,9 @@
 
     def let_go(self) -> None:
         """Ends it without an answer: nobody wants it."""
-        if self.taken and not self.over:
-            self.taken.leave()
+        if not self.over:
+            if self.taken:
+                self.taken.leave()
             self.aborted("ended by its client")
 
     # heathford.core.doors.Sink
@@ -53,13 +56,16 @@
 
     def finished(self, reason: str, usage: Mapping[str, Any]) -> None:
         self.done = True
+        self.told = {"final": "finished", "reason": reason, "usage": usage}
         self.settle(lambda listener: listener.finished(reason, usage))
 
     def rate_limited(self, retry_after: float) -> None:
         self.refused = True
+        self.told = {"final": "rate-limited"}
         self.settle(lambda listener: listener.rate_limited(retry_after))
 
     def aborted(self, why: str) -> None:
+        self.told = {"final": "aborted", "why": why}
         self.settle(lambda listener: listener.aborted(why))
 
     def settle(self, final: Callable[[Sink], None]) -> None:
--- a/heathford/script/words.py
+++ b/heathford/script/words.py
@@ -132,5 +132,7 @@
     "stand_in_tls": Word({
         "certificate": NAME, "key": NAME, "authority": Field(text, needed=False, absent=""),
         "clients": Field(one_of("none", "optional", "required"), needed=False, absent="none")}, most=1),
+    "store": Word({
+        "folder": NAME, "without": Field(one_of("refuse", "serve"))}, most=1),
     "seed": Word({"value": Field(whole(0, 2**63 - 1))}, least=0, most=1),
 }
--- a/heathford/sessions/session.py
+++ b/heathford/sessions/session.py
@@ -44,6 +44,18 @@
         """Its idempotency key stands for another completion."""
 
 
+class Memory(Protocol):
+    """What outlasts the front; as heathford.front.memory."""
+
+    def begins(
+        self, member: int, mark: str, digest: bytes, effect: Effect, then: Callable[[bool], None]
+    ) -> None: ...
+
+    def ended(self, member: int, mark: str, digest: bytes, effect: Effect, shared: Shared) -> None: ...
+
+    def forgets(self, member: int, mark: str, effect: Effect) -> None: ...
+
+
 class Desk:
     """What the sessions of a front share. most_out: completions of one session out at once; most_waiting:
     that wait there for one of these to end. later: calls at a time of the clock `now`."""
@@ -58,6 +70,7 @@
         self.tries = Tries(identities.most, identities.keep)
         self.most_out, self.most_waiting = most_out, most_waiting
         self.retry_after = RETRY_AFTER
+        self.memory: Memory | None = None
         self.stopping = False
         self.count = 0
         self.sharing = False
@@ -217,8 +230,7 @@
 
     @property
     def name(self) -> str:
-        taken = self.shared.taken if self.shared else None
-        return taken.name if taken else ""
+        return self.shared.name if self.shared else ""
 
     @property
     def target(self) -> float:
@@ -243,7 +255,7 @@
 
     def begin(self) -> None:
         """Let in: it goes to the decisions."""
-        session, desk, asked = self.session, self.session.desk, self.asked
+        desk, asked = self.session.desk, self.asked
         member, mark, now = asked["member"], asked["mark"], desk.now()
         self.let_in = now
         if desk.stopping:
@@ -263,13 +275,32 @@
             # what may run again is run again. All else is given again as it was.
             if shared.refused or (effect is Effect.IDEMPOTENT and not shared.done):
                 desk.identities.drop(member, mark)
+                if mark and desk.memory:
+                    desk.memory.forgets(member, mark, effect)
             else:
                 desk.identities.end(member, mark, desk.now())
+                if mark and desk.memory:
+                    desk.memory.ended(member, mark, self.digest, effect, shared)
         shared = self.shared = Shared(ended)
         shared.join(self)
         if mark:
             desk.identities.begin(member, mark, self.digest, effect, shared)
-        shared.taken = desk.core.take(shared, session=session.name, received=self.received, **asked)
+        if mark and desk.memory:
+            desk.memory.begins(member, mark, self.digest, effect, lambda good: self.run(shared, good))
+        else:
+            self.run(shared, True)
+
+    def run(self, shared: Shared, good: bool) -> None:
+        """It goes to the decisions, now that what must be kept of it is."""
+        session = self.session
+        if shared.over:
+            return  # its clients have gone meanwhile
+        if not good:
+            shared.rate_limited(session.desk.retry_after)
+            return
+        taken = shared.taken = session.desk.core.take(
+            shared, session=session.name, received=self.received, **self.asked)
+        shared.name = taken.name
 
     def turned_away(self) -> None:
         """There was no room for it in time, and nothing of it has run."""
