A client asks a front that is gone no more for what may have run there

Cause: after a lost connection what must not run twice was asked for at its front by its key until it answered; a front that was killed and came back without memory would have run it a second time. A refusal after a lost connection was called rate-limited, which says that nothing has run.

Change: unreached after a loss ends the tries with an abort; a refusal after a loss too, where running twice does harm.

--- a/heathford/client/base.py
+++ b/heathford/client/base.py
@@ -161,8 +161,9 @@
     def error(
         self, trouble: Trouble, why: str, turned_away: float | None, ran: bool
     ) -> CompletionError:
-        """What the caller is told: nothing that has run only where no try may have."""
-        if turned_away is not None and (trouble is Trouble.REFUSED or not ran):
+        """What the caller is told: that nothing has run only where no try may have, or where that does no
+        harm."""
+        if turned_away is not None and (not ran or (self.repeatable and trouble is Trouble.REFUSED)):
             return RateLimited(why, turned_away, self.text, self.tries)
         if not ran:
             return NoFront(why, self.text, self.tries)
--- a/heathford/client/retry.py
+++ b/heathford/client/retry.py
@@ -102,11 +102,15 @@
             self.unknown_at = self.front  # only there is it known that it may be out
         elif trouble is Trouble.ABORTED and not self.repeatable:
             return None
+        if trouble is Trouble.UNREACHED and self.unknown_at is not None:
+            # Guards against a front that was killed and comes back without knowing what it had out: asked
+            # again by the key it would run it a second time. Could harm by an abort where only the network
+            # was away.
+            return None
         if trouble is Trouble.UNREACHED:
             self.unreached += 1
-            if self.unknown_at is None:
-                self.front = self.fronts.bad(self.front, now)
-            if self.fronts.all_bad(now) or self.unknown_at is not None:
+            self.front = self.fronts.bad(self.front, now)
+            if self.fronts.all_bad(now):
                 wait = min(BACKOFF * 2 ** min(self.unreached, 10), BACKOFF_MOST)
         elif trouble is Trouble.REFUSED:
             wait = retry_after
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -16,10 +16,12 @@
 from heathford.client import (
     Aborted, BadRequest, Blocking, Finished, HttpClient, NoFront, RateLimited, WebSocketClient,
 )
-from heathford.client.base import Client
+from heathford.client.base import Client, TroubleError
 from heathford.client.retry import BACKOFF, BACKOFF_MOST, CREDIT, JITTER, Attempt, Budget, Fronts, Trouble
+from heathford.completions import answers
 from heathford.fuzz.sessions import Served
 from heathford.interface import Effect
+from heathford.standin.server import Exchange, Server
 
 HERE = Path(__file__).parent
 KINDS = ["websocket", "http"]
@@ -243,6 +245,55 @@
     two_fronts(fleet, kind, scene, Effect.NON_IDEMPOTENT)
 
 
+@pytest.mark.parametrize("kind", KINDS)
+def test_text_of_another_completion_does_not_go_on_where_one_broke_off(fleet: Fleet, kind: str) -> None:
+    """What may run twice ended with its connection: the same front begins it anew."""
+    async def scene(client: Client, fronts: list[Served]) -> None:
+        got = ""
+        with pytest.raises(Aborted, match="anew") as problem:
+            async for part in client.stream("w", "x" * 400, max_tokens=30, timeout=5.0):
+                got += part
+                if len(got) == 5:
+                    def cut() -> None:
+                        for socket in list(fronts[0].sockets.open):
+                            if socket.protocol:
+                                socket.protocol.stream.close()
+                        for connection in list(fronts[0].server._connections):
+                            connection.stream.close()
+                    fleet.call(cut)
+        assert problem.value.text == got and fronts[0].core.tally.taken == 2
+    two_fronts(fleet, kind, scene)
+
+
+@pytest.mark.parametrize("repeatable, raised", [(True, RateLimited), (False, Aborted)])
+def test_what_may_have_run_is_not_called_rate_limited(repeatable: bool, raised: type[Exception]) -> None:
+    """A front that lost the connection to it, and then refuses it, has forgotten it."""
+    class Front(HttpClient):
+        async def once(self, front: int, *rest: Any) -> Any:
+            self.asked = getattr(self, "asked", 0) + 1
+            raise TroubleError(Trouble.LOST if self.asked == 1 else Trouble.REFUSED, "so", 0.2)
+
+    async def run() -> None:
+        with pytest.raises(raised):
+            await Front(["http://127.0.0.1:1"]).complete("w", "x", timeout=0.5, repeatable=repeatable)
+    asyncio.run(run())
+
+
+def test_a_stream_that_ends_without_saying_so_is_no_answer() -> None:
+    async def scene() -> None:
+        async def answer(exchange: Exchange) -> None:
+            exchange.head(200, {"Content-Type": "text/event-stream", "Transfer-Encoding": "chunked"})
+            exchange.chunk(answers.part("c", "w", "half"))
+            exchange.end()
+        server = Server(answer)
+        server.open("127.0.0.1")
+        async with HttpClient([f"http://127.0.0.1:{server.port}"]) as client:
+            with pytest.raises(Aborted):
+                await client.complete("w", "x", timeout=0.5)
+        server.stop()
+    asyncio.run(scene())
+
+
 @pytest.mark.parametrize("kind", KINDS)
 def test_leaving_a_stream_early_cancels_it_at_the_front(fleet: Fleet, kind: str) -> None:
     async def scene(client: Client, fronts: list[Served]) -> None:
@@ -260,7 +311,8 @@
     (True, True, [Trouble.LOST, Trouble.REFUSED], [0, 1]),
     (True, False, [Trouble.LOST], [1]),
     (False, False, [Trouble.LOST], [None]),
-    (False, True, [Trouble.LOST, Trouble.UNREACHED, Trouble.REFUSED], [0, 0, 0]),
+    (False, True, [Trouble.LOST, Trouble.REFUSED, Trouble.LOST], [0, 0, 0]),
+    (False, True, [Trouble.LOST, Trouble.UNREACHED], [0, None]),
     (False, True, [Trouble.ABORTED], [None]),
     (True, True, [Trouble.ABORTED], [0]),
     (False, False, [Trouble.REFUSED, Trouble.UNREACHED], [1, 2])])
@@ -281,7 +333,7 @@
     again = 0
     for n in range(1000):
         attempt = Attempt(choice, budget, 1e9, True, True)
-        while attempt.after(Trouble.REFUSED, float(n)) is not None:
+        while attempt.after(Trouble.REFUSED, float(n)) is not None and again < 10_000:
             again += 1
     assert again <= 0.2 * 1000 + CREDIT and again > 150
 
