--- a/heathford/front/process.py
+++ b/heathford/front/process.py
@@ -5,12 +5,16 @@
 import ssl
 import sys
 import time
+from pathlib import Path
 from collections.abc import Callable
 
 import structlog
 from tornado.httpserver import HTTPServer
 from tornado.netutil import bind_sockets
 
+from heathford.batch.api import routes as batch_routes
+from heathford.batch.runner import Runner
+from heathford.batch.shelf import Shelf
 from heathford.completions.handler import routes
 from heathford.core.core import Core
 from heathford.engines.link import EngineLink
@@ -92,6 +96,11 @@
         self.folder = script.path.parent / kept[0].folder / self.declared.name if kept else None
         self.serves_without = bool(kept) and kept[0].without == "serve"
         self.memory: Memory | None = None
+        declared = script.all("batches")
+        self.batches = BatchFiles(script.path.parent / declared[0].folder, declared[0].most_file,
+                                  declared[0].most_files) if declared else None
+        self.runner: Runner | None = None
+        self.application = application
         self.stop_within = figures.stop_within
         self.stopped = asyncio.Event()
         self.port = 0
@@ -107,6 +116,12 @@
             restored = memory.restore(self.desk.identities, loop.time())
             await memory.begin(self.core.tally)
             self.desk.memory = memory
+            if self.batches and memory.store:
+                folder = self.batches.folder_of(self.declared.name)
+                shelf = Shelf(folder, memory.store, self.batches.most_file, self.batches.most_files)
+                self.runner = Runner(self.desk, memory.store, shelf, loop.time)
+                self.application.add_handlers(".*", batch_routes(self.runner, self.desk.offers.members))
+                self.runner.start()
             log.info("store open", start=memory.start, completions=restored)
         sockets = bind_sockets(self.declared.port, self.declared.address, backlog=1024)
         self.server.add_sockets(sockets)
@@ -133,6 +148,8 @@
         """Takes nothing new, ends what is held within the stated time, then leaves."""
         log.info("stopping", open=self.core.open)
         self.server.stop()
+        if self.runner:
+            await self.runner.stop()
         if not self.sockets.desk.stopping:
             self.sockets.stop()
         idle = asyncio.Event()
@@ -169,6 +186,16 @@
         self.stopped.set()
 
 
+class BatchFiles:
+    """Where batches' files are, and their bounds in bytes."""
+
+    def __init__(self, folder: Path, most_file: int, most_files: int) -> None:
+        self.folder, self.most_file, self.most_files = folder, most_file, most_files
+
+    def folder_of(self, front: str) -> Path:
+        return self.folder / front
+
+
 def instance_name(front: str) -> str:
     """Guards against a front that restarts and calls a dispatch as it did before: engines would hold the two
     for one, and let go of the wrong state."""
--- a/heathford/script/words.py
+++ b/heathford/script/words.py
@@ -134,5 +134,8 @@
         "clients": Field(one_of("none", "optional", "required"), needed=False, absent="none")}, most=1),
     "store": Word({
         "folder": NAME, "without": Field(one_of("refuse", "serve"))}, most=1),
+    "batches": Word({
+        "folder": NAME, "most_file": Field(whole(1024, 2**40)), "most_files": Field(whole(1024, 2**50))},
+        most=1),
     "seed": Word({"value": Field(whole(0, 2**63 - 1))}, least=0, most=1),
 }
--- a/heathford/sessions/session.py
+++ b/heathford/sessions/session.py
@@ -71,6 +71,8 @@
         self.most_out, self.most_waiting = most_out, most_waiting
         self.retry_after = RETRY_AFTER
         self.memory: Memory | None = None
+        # Gets what part of its latency target each session's completion took that somebody waits for.
+        self.heard: Callable[[float, float], None] = lambda part, now: None
         self.stopping = False
         self.count = 0
         self.sharing = False
@@ -115,6 +117,7 @@
         self.answers: dict[Any, Answer] = {}  # out and waiting, by the client's id
         self.out = 0
         self.held = 0  # bytes
+        self.waits = True  # somebody, at a screen
         self.waiting: Waiting[Answer] = Waiting(desk.most_waiting)
         self.expiry: Cancellable | None = None
 
@@ -317,6 +320,8 @@
             desk.shares.gone(self.asked["member"], desk.now())
         else:
             desk.shares.answered(self.asked["member"], let_in, part, desk.now())
+            if self.session.waits:
+                desk.heard(part, desk.now())
         desk.share()
 
     def tokens(self, text: str) -> None:
--- a/heathford/standin/link.py
+++ b/heathford/standin/link.py
@@ -15,6 +15,7 @@
     def __init__(self, pace: float = 0.0) -> None:
         self.pace = pace
         self.held = False
+        self.breaks = 0  # a stream of so many tokens at the most breaks off at its first
         self.size, self.token = 1, "t"  # characters of a token
         self.calls: list[AnsweringCall] = []  # those that are out, and with `keep` those that were
         self.keep = False
@@ -59,6 +60,10 @@
         if not self.given:
             self.events.first_token()
         most = self.body["max_tokens"]
+        if most == self.link.breaks:
+            self.done()
+            self.events.ended(Verdict.BROKEN, 0, {}, {})
+            return
         while self.given < most and not self.cancelled:
             self.given += 1
             self.events.tokens(self.link.token * self.link.size)
