--- a/benchmarks/unguarded_front.py
+++ b/benchmarks/unguarded_front.py
@@ -107,15 +107,13 @@
     session.Answer.leave = leave  # type: ignore[method-assign]
 
 
-def answers_cancels_always() -> None:
-    """A cancel that crosses the final answer is answered as if it had come first."""
-    true = session.Session.cancel
-
+def cancels_without_answer() -> None:
+    """A completion that its client cancels just ends."""
     def cancel(self: session.Session, key: Any) -> bool:
-        if true(self, key):
-            return True
-        self.voice.aborted(key, "", "cancelled by the client", Retry.NEVER)
-        return False
+        found = self.answers.get(key)
+        if found:
+            found.leave(cancelled=True)
+        return found is not None
     session.Session.cancel = cancel  # type: ignore[method-assign]
 
 
@@ -156,7 +154,7 @@
 GUARDS: dict[str, Callable[[], None]] = {
     f.__name__: f for f in (
         answers_twice, never_gives_up, sends_beside, forgets_effects, ignores_drains, crowds_cold_engines,
-        pins_states, forgets_keys, closes_at_once, lets_all_go, answers_cancels_always, streams_on,
+        pins_states, forgets_keys, closes_at_once, lets_all_go, cancels_without_answer, streams_on,
         drops_what_is_slow, forgets_restarts, shares_nothing)}
 
 if __name__ == "__main__":
--- a/heathford/days/play.py
+++ b/heathford/days/play.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -46,8 +46,10 @@
 async def play_day(
     script: Script, day: Script, seconds: float, seed: int, recording_path: Path,
     front_program: tuple[str, ...] = (), logs: Path | None = None,
+    beside: Callable[[list[str]], Awaitable[None]] | None = None,
 ) -> None:
-    """Plays it and leaves the recording; front_program: another module to run fronts by, with arguments."""
+    """Plays it and leaves the recording; front_program: another module to run fronts by, with arguments;
+    beside: what goes on beside the day, given the fronts' URLs, and is cancelled at its end."""
     deployment, recording = Deployment(script), Recording(recording_path)
     relays: dict[tuple[str, str], Relay] = {}
     names = [f.name for f in script.all("front")]
@@ -81,9 +83,14 @@
         libraries = Libraries(recording, urls, names, seed)
         await asyncio.gather(*(start_front(n) for n in names))
         recording.note("day", "begin", **header(script, day, sends, seconds, seed))
+        more = asyncio.ensure_future(beside(urls)) if beside else None
         faults = Faults(deployment, recording, relays, start_front)
         await run(script, day, seconds, seed, recording, urls, names, faults, libraries)
         await libraries.close()
+        if more:
+            more.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await more
     finally:
         await deployment.end()
         for relay in relays.values():
