heathford batch, and files and batches in the client library

Need: batches could be asked for by hand only.

Change: Batches and its blocking form: upload as a stream, submit, watch, fetch whole or not at all, cancel, lists by cursors; what does no harm twice is tried again. heathford batch submit, watch, fetch, cancel, list, with a bar where rich is there.

--- a/benchmarks/mutated_clients.py
+++ b/benchmarks/mutated_clients.py
@@ -1,6 +1,8 @@
 """Takes out, one at a time, each rule by which the client libraries try again: the tests must catch each.
 
-    python -m benchmarks.mutated_clients [AT_ONCE]
+    python -m benchmarks.mutated_clients [AT_ONCE [WORD …]]
+
+With words, only the rules whose names have one of them.
 """
 
 import shutil
@@ -84,13 +86,14 @@
 
 
 def main() -> int:
-    missed = 0
+    missed, words = 0, sys.argv[2:]
+    chosen = [m for m in MUTANTS if not words or any(word in m[0] for word in words)]
     with ThreadPoolExecutor(int(sys.argv[1]) if len(sys.argv) > 1 else 4) as pool:
-        for name, by in pool.map(caught, MUTANTS):
+        for name, by in pool.map(caught, chosen):
             good = bool(by) and not by.startswith("NOT")
             missed += not good
             print(f"{'caught' if good else 'MISSED'}: {name}{f': {by}' if by else ''}", flush=True)
-    print(f"{len(MUTANTS) - missed} of {len(MUTANTS)} caught")
+    print(f"{len(chosen) - missed} of {len(chosen)} caught")
     return 1 if missed else 0
 
 
--- a/heathford/cli/main.py
+++ b/heathford/cli/main.py
@@ -11,6 +11,7 @@
 
 from heathford import __version__
 from heathford.cli import logs
+from heathford.cli.batch import add_to
 from heathford.script.script import Script, ScriptError, read_script
 from heathford.script.words import WORDS, Word
 
@@ -342,5 +343,7 @@
     click.echo(f"{before} bytes before, {after} after")
 
 
+add_to(cli)
+
 if __name__ == "__main__":
     cli()
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -22,6 +22,7 @@
 from heathford.batch.runner import Runner
 from heathford.batch.scheduling import BACK, START, Fair, Limit, Queue
 from heathford.batch.shelf import Answers, Shelf
+from heathford.client import BadRequest, Batches, BlockingBatches, NoFront
 from heathford.front.memory import Memory
 from heathford.fuzz.sessions import Served
 from heathford.interface import Effect
@@ -284,6 +285,33 @@
     play(tmp_path, scene)
 
 
+def test_a_client_submits_watches_and_fetches(tmp_path: Path) -> None:
+    async def scene(start: Start) -> None:
+        source, to = tmp_path / "lines.jsonl", tmp_path / "answers.jsonl"
+        source.write_bytes(b"\n".join(line(f"c{n}") for n in range(40)))
+        address = f"http://127.0.0.1:{start.served.port}"
+        async with Batches(address, "m") as batches:
+            file = await batches.upload(source)
+            begun = await batches.submit(file["id"])
+            seen = [found async for found in batches.watch(begun["id"])]
+            assert seen[-1]["status"] == "completed" and seen[-1]["request_counts"]["completed"] == 40
+            assert await batches.fetch(seen[-1]["output_file_id"], to) == to.stat().st_size
+            assert len(to.read_text().splitlines()) == 40 and not list(tmp_path.glob("*.part"))
+            assert [e["id"] async for e in batches.entries("batches")] == [begun["id"]]
+            with pytest.raises(BadRequest, match="no batch"):
+                await Batches(address, "n").get(begun["id"])
+            with pytest.raises(BadRequest, match="completed"):
+                await batches.cancel(begun["id"])
+        blocking = BlockingBatches(address, "m")
+        loop = asyncio.get_running_loop()
+        again = await loop.run_in_executor(None, blocking.submit, file["id"])
+        last = await loop.run_in_executor(None, lambda: list(blocking.watch(again["id"]))[-1])
+        assert last["status"] == "completed"
+        with pytest.raises(NoFront):
+            await Batches("http://127.0.0.1:1").submit("x")
+    play(tmp_path, scene)
+
+
 @pytest.mark.parametrize("said, status, what", [
     ({"endpoint": "/v1/chat"}, 400, "endpoint"), ({"completion_window": "1d"}, 400, "completion_window"),
     ({"input_file_id": "file-0"}, 404, "no file"), ({"metadata": {"a": 1}}, 400, "metadata")])
