--- a/benchmarks/store_cost.py
+++ b/benchmarks/store_cost.py
@@ -87,7 +87,7 @@
     chance, loop = random.Random(1), asyncio.get_running_loop()
     for n in range(KEYS):
         store.put("s", b"%d" % n, VALUE)
-    while store.versions:
+    while store.pending:
         await asyncio.sleep(0.01)
 
     async def write() -> None:
@@ -106,7 +106,7 @@
     found = await delays(seconds)
     for task in tasks:
         task.cancel()
-    while store.versions or (store.compacting and store.compacting.is_alive()):
+    while store.pending or (store.compacting and store.compacting.is_alive()):
         await asyncio.sleep(0.01)
     snapshots = store.snapshots
     await store.close()
--- a/heathford/batch/runner.py
+++ b/heathford/batch/runner.py
@@ -65,6 +65,11 @@
             self.runner.first_token(self)
 
     def finished(self, key: Any, completion: str, reason: str, usage: Mapping[str, Any], text: str) -> None:
+        tokens = usage.get("completion_tokens")
+        if self.first is not None and isinstance(tokens, int) and tokens > 1:
+            wanted = self.runner.desk.core.workloads[self.line.asked["workload"]].token_target
+            took = self.runner.now() - self.sent - self.first
+            self.runner.limit.line_streamed(took / (tokens - 1) / wanted)
         self.runner.ends(self, True, {"id": completion, "custom_id": self.line.custom_id, "response": {
             "status_code": 200, "request_id": completion, "body": {
                 "id": completion, "object": "text_completion", "model": self.line.asked["body"]["model"],
@@ -112,7 +117,7 @@
         self.limit, self.fair = Limit(), Fair[int]()
         self.batches = {key.decode(): Batch.read(orjson.loads(value)) for key, value in store.scan(SPACE)}
         self.running: dict[str, Running] = {}
-        desk.heard = self.limit.session_answered
+        desk.heard, desk.heard_pace = self.limit.session_answered, self.limit.session_streamed
         self.out = 0
         self.stopping = False
         self.tasks: dict[asyncio.Task[None], None] = {}
--- a/heathford/batch/scheduling.py
+++ b/heathford/batch/scheduling.py
@@ -13,8 +13,9 @@
 START = 4.0  # lines out at first: a reader's work, so that something is learned
 MOST = 4096.0  # lines out: beyond it a front of one process is the bound
 GROWTH = 1.15  # times per round of good answers, while the limit is what holds lines back
-SLOW_LINE = 0.5  # share of its latency target after which a line's first token is slow
-SLOW_SESSION = 0.35  # share of theirs after which sessions are: before any of them is late
+SLOW_LINE = 0.2  # share of its latency target after which a line is slow: it shows queues that sessions meet
+SLOW_SESSION = 0.3  # share of theirs after which sessions are: before any of them is late
+PACE = 0.5  # share of the time wanted for tokens beyond which a stream is slow
 CUT_LINE, CUT_SESSION = 0.85, 0.5  # what is left of the limit after a round of slow lines, of slow sessions
 BACK = 2.0  # s without slow sessions before the limit grows again: an editor's next prompt comes by then
 HALF_LIFE = 3.0  # s, of what sessions meet
@@ -49,8 +50,15 @@
 
     def session_answered(self, part: float, now: float) -> None:
         """A session's first token came after `part` of its target; infinite: it was refused or aborted."""
+        self.session_met(part > SLOW_SESSION, now)
+
+    def session_streamed(self, part: float, now: float) -> None:
+        """A session's whole answer took `part` of the time wanted for its tokens."""
+        self.session_met(part > PACE, now)
+
+    def session_met(self, slow: bool, now: float) -> None:
         self.sessions.add(1.0, now)
-        if part <= SLOW_SESSION:
+        if not slow:
             return
         self.slow.add(1.0, now)
         count = self.sessions.lately(now)
@@ -74,6 +82,11 @@
         self.answers = self.slow_lines = 0
         self.round_from = now
 
+    def line_streamed(self, part: float) -> None:
+        """The same of a line's tokens."""
+        self.answers += 1
+        self.slow_lines += part > PACE
+
     def room(self, out: int, now: float) -> int:
         """How many more lines may go out. A limit of nothing comes back by itself, with one line."""
         if self.size < 1.0 and now >= self.slow_at + BACK:
--- a/heathford/sessions/session.py
+++ b/heathford/sessions/session.py
@@ -73,6 +73,7 @@
         self.memory: Memory | None = None
         # Gets what part of its latency target each session's completion took that somebody waits for.
         self.heard: Callable[[float, float], None] = lambda part, now: None
+        self.heard_pace: Callable[[float, float], None] = lambda part, now: None  # the same of its stream
         self.stopping = False
         self.count = 0
         self.sharing = False
@@ -346,7 +347,10 @@
         desk, tokens = self.session.desk, usage.get("completion_tokens")
         if self.started and self.first is not None and isinstance(tokens, int) and tokens > 1:
             wanted = desk.core.workloads[self.asked["workload"]].token_target
-            desk.shares.streamed((desk.now() - self.first) / (tokens - 1) / wanted)
+            pace = (desk.now() - self.first) / (tokens - 1) / wanted
+            desk.shares.streamed(pace)
+            if self.session.waits:
+                desk.heard_pace(pace, desk.now())
         self.flush()
         self.close()
         self.session.voice.finished(self.key, self.name, reason, usage, "".join(self.text))
--- a/heathford/store/decisions.py
+++ b/heathford/store/decisions.py
@@ -10,7 +10,7 @@
 SLOW = 1.0  # s that a sync may take before the disk counts as slow
 RETRY = 1.0  # s after a full disk or a failed sync until it is tried again, doubled each time
 RETRY_MOST = 30.0  # s
-PART = 64 << 10  # bytes of a snapshot written between two looks at what waits
+PART = 16 << 10  # bytes of a snapshot made at once: a millisecond in which the loop may have to wait
 PAUSE = 0.002  # s between two such parts: some 30 MB/s at the most, so that syncs of the log stay short
 JUMP = 5.0  # s that the wall clock may be behind the store's before it counts as set back
 
--- a/heathford/store/store.py
+++ b/heathford/store/store.py
@@ -14,7 +14,7 @@
 from heathford.store.files import RealFiles
 from heathford.store.format import MOST, Change
 from heathford.store.journal import Journal, JournalError, recover
-from heathford.store.views import View
+from heathford.store.views import Entry, View, is_over
 
 EXPIRE_EVERY = 1.0  # s between two looks for what has expired
 EXPIRE_MOST = 2000  # entries taken out at once: a few ms of the loop
@@ -38,20 +38,25 @@
 class Batch:
     def __init__(self, changes: tuple[Change, ...], at: float, epoch: int, size: int) -> None:
         self.changes, self.at, self.epoch, self.size = changes, at, epoch, size
+        self.number = 0  # among all of this store
         self.done: asyncio.Future[int] = asyncio.get_running_loop().create_future()
 
 
 class Store:
-    """head: what was written, on disk or not yet; durable: what is on disk. Both are views that stay as they
-    are. Made by `open`; used from one loop."""
+    """durable: what is on disk; head: with what was written and is not there yet. Both are views that stay as
+    they are; the persistent maps are made anew for a group, not for a write, which costs twenty times as
+    much. Made by `open`; used from one loop."""
 
     def __init__(self, journal: Journal, close: Callable[[], None], wall: Callable[[], float]) -> None:
         self.journal, self.close_files, self.wall = journal, close, wall
         self.loop = asyncio.get_running_loop()
         self.health = Health()
-        self.head = self.durable = journal.view
-        self.clock = Clock(self.head.time, wall(), time.monotonic())
-        self.versions: deque[View] = deque()  # not yet on disk
+        self.durable = journal.view
+        self.whole: View | None = self.durable  # the head, if it has been asked for since the last write
+        self.clock = Clock(self.durable.time, wall(), time.monotonic())
+        self.pending: deque[Batch] = deque()  # not yet on disk
+        self.overlay: dict[tuple[str, bytes], tuple[Entry | None, int]] = {}  # theirs, and whose it is
+        self.count = 0
         self.epoch = 0  # how often writes were given up
         self.waiting: list[Batch] = []
         self.wake = threading.Condition()
@@ -94,7 +99,18 @@
     # Reading.
 
     def get(self, space: str, key: bytes) -> bytes | None:
-        return self.head.get(space, key, self.now)
+        found = self.overlay.get((space, key))
+        if found is None:
+            return self.durable.get(space, key, self.now)
+        entry = found[0]
+        return None if entry is None or is_over(entry, self.now) else entry[0]
+
+    @property
+    def head(self) -> View:
+        if self.whole is None:
+            changes = [change for batch in self.pending for change in batch.changes]
+            self.whole = self.durable.after(changes, self.durable.sequence + len(self.pending), self.now)
+        return self.whole
 
     def scan(self, space: str, begin: bytes = b"", prefix: bytes = b"") -> Iterator[tuple[bytes, bytes]]:
         """Of the content as it is now, whatever is written meanwhile."""
@@ -127,8 +143,12 @@
             raise StoreError(f"the store is {self.health.state.value}: {self.health.why}", self.health.state)
         now = self.now
         batch = Batch(tuple(changes), now, self.epoch, size)
-        self.head = self.head.after(batch.changes, self.head.sequence + 1, now)
-        self.versions.append(self.head)
+        self.count += 1
+        batch.number, self.whole = self.count, None
+        for change in batch.changes:
+            entry = None if change.value is None else (change.value, change.until)
+            self.overlay[change.space, change.key] = entry, batch.number
+        self.pending.append(batch)
         self.health.pending += size
         with self.wake:
             self.waiting.append(batch)
@@ -177,11 +197,19 @@
             log.warning("store is " + self.health.state.value, was=before.value, took=took)
         self.groups += 1
         self.written += len(group)
-        for batch in group:
+        sequence = self.durable.sequence
+        changes = [change for batch in group for change in batch.changes]
+        self.durable = self.durable.after(changes, sequence + len(group), group[-1].at)
+        for place, batch in enumerate(group):
             self.health.pending -= batch.size
-            self.durable = self.versions.popleft()
+            self.pending.popleft()
+            for change in batch.changes:
+                name = change.space, change.key
+                if self.overlay.get(name, (None, 0))[1] == batch.number:
+                    del self.overlay[name]
             if not batch.done.done():
-                batch.done.set_result(self.durable.sequence)
+                batch.done.set_result(sequence + 1 + place)
+        self.whole = None if self.pending else self.durable
         self.compact_if_due()
 
     def failed(self, group: list[Batch], problem: JournalError, epoch: int) -> None:
@@ -189,8 +217,9 @@
         self.health.failed(problem.trouble, problem.why, self.loop.time())
         log.error("store is " + self.health.state.value, why=str(problem))
         self.epoch = epoch
-        self.head = self.durable
-        self.versions.clear()
+        self.whole = self.durable
+        self.pending.clear()
+        self.overlay.clear()
         self.given_up(group, problem)
 
     def given_up(self, group: list[Batch], problem: JournalError) -> None:
--- a/heathford/store/tools.py
+++ b/heathford/store/tools.py
@@ -75,7 +75,7 @@
 
 def dump(files: Files, space: str) -> Iterator[dict[str, Any]]:
     """Entries in order, texts where they are texts."""
-    for name, key, (value, until) in recover(files).grown.view().entries():
+    for name, key, (value, until) in sorted(recover(files).grown.view().entries()):
         if space in ("", name):
             yield {"space": name, "key": readable(key), "value": readable(value), "until": until}
 
--- a/heathford/store/views.py
+++ b/heathford/store/views.py
@@ -86,10 +86,10 @@
                 yield key, entries[key][0]
 
     def entries(self) -> Iterator[tuple[str, bytes, Entry]]:
-        """All, in the order of names and keys."""
+        """All, in no order that means anything: to sort them would hold the loop while a snapshot begins."""
         for space in sorted(self.spaces):
-            for key in sorted(self.spaces[space]):
-                yield space, key, self.spaces[space][key]
+            for key, entry in self.spaces[space].items():
+                yield space, key, entry
 
     def over(self, now: float, most: int) -> list[Change]:
         """Deletions of what has expired, at most so many."""
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -68,7 +68,7 @@
 
     async def before(start: Start) -> None:
         first.update(await start.ask("k"))
-        while start.memory.store and start.memory.store.versions:
+        while start.memory.store and start.memory.store.pending:
             await asyncio.sleep(0.001)
 
     async def after(start: Start) -> None:
@@ -91,7 +91,7 @@
             await asyncio.sleep(0.001)
         asking.cancel()
         start.memory.count_now(start.served.core.tally)
-        while start.memory.store and start.memory.store.versions:
+        while start.memory.store and start.memory.store.pending:
             await asyncio.sleep(0.001)
 
     async def after(start: Start) -> None:
