A batch shows its end with its files, and waits for its store

Cause: a batch was seen as over before its files were listed; a store that refused the last record ended the work.

Change: files are listed first; records are tried until they are on disk. The limit on lines is stricter beside sessions than alone.

--- a/heathford/batch/runner.py
+++ b/heathford/batch/runner.py
@@ -69,7 +69,7 @@
         if self.first is not None and isinstance(tokens, int) and tokens > 1:
             wanted = self.runner.desk.core.workloads[self.line.asked["workload"]].token_target
             took = self.runner.now() - self.sent - self.first
-            self.runner.limit.line_streamed(took / (tokens - 1) / wanted)
+            self.runner.limit.line_streamed(took / (tokens - 1) / wanted, self.runner.now())
         self.runner.ends(self, True, {"id": completion, "custom_id": self.line.custom_id, "response": {
             "status_code": 200, "request_id": completion, "body": {
                 "id": completion, "object": "text_completion", "model": self.line.asked["body"]["model"],
@@ -184,6 +184,16 @@
         await self.store.write(
             [Change(SPACE, batch.id.encode(), orjson.dumps(batch.kept())), *more])
 
+    async def keep_surely(self, batch: Batch, *more: Change) -> None:
+        """Until it is on disk: a batch waits for its store, and loses nothing meanwhile."""
+        while True:
+            try:
+                await self.keep(batch, *more)
+                return
+            except StoreError as problem:
+                log.error("batch not recorded; tried again", batch=batch.id, why=str(problem))
+                await asyncio.sleep(DISK_AGAIN)
+
     # Checking.
 
     async def check(self, batch: Batch) -> None:
@@ -331,13 +341,7 @@
         for index, good in marked:
             batch.answered(index, good)
         self.written += len(marked)
-        while True:
-            try:
-                await self.keep(batch)
-                break
-            except StoreError as problem:
-                log.error("batch not recorded; tried again", batch=batch.id, why=str(problem))
-                await asyncio.sleep(DISK_AGAIN)
+        await self.keep_surely(batch)
         if not batch.left and running.ending is None:
             self.end_soon(running, Status.COMPLETED)
 
@@ -359,7 +363,7 @@
             await asyncio.sleep(GROUP)
         if how is Status.COMPLETED and batch.status is Status.IN_PROGRESS:
             batch.goes(Status.FINALIZING, self.wall())
-            await self.keep(batch)
+            await self.keep_surely(batch)
         assert running.answers
         running.answers.close()
         names, changes = {}, []
@@ -375,10 +379,11 @@
                 changes.append(self.shelf.change(entry))
         batch.output_file = names["output"]["id"] if "output" in names else ""
         batch.error_file = names["error"]["id"] if "error" in names else ""
-        batch.goes(how, self.wall())
-        await self.keep(batch, *changes)
+        # Guards against a status seen before its files: who sees it fetches them at once.
         for entry in names.values():
             self.shelf.took(entry["id"], entry)
+        batch.goes(how, self.wall())
+        await self.keep_surely(batch, *changes)
         for path in running.answers.paths:
             path.unlink(missing_ok=True)
         self.running.pop(batch.id, None)
--- a/heathford/batch/scheduling.py
+++ b/heathford/batch/scheduling.py
@@ -13,9 +13,10 @@
 START = 4.0  # lines out at first: a reader's work, so that something is learned
 MOST = 4096.0  # lines out: beyond it a front of one process is the bound
 GROWTH = 1.15  # times per round of good answers, while the limit is what holds lines back
-SLOW_LINE = 0.2  # share of its latency target after which a line is slow: it shows queues that sessions meet
+SLOW_LINE = 0.3  # share of its latency target after which a line is slow while there are sessions
+ALONE = 0.6  # the same without sessions: nobody is kept waiting
 SLOW_SESSION = 0.3  # share of theirs after which sessions are: before any of them is late
-PACE = 0.5  # share of the time wanted for tokens beyond which a stream is slow
+PACE = 0.6  # share of the time wanted for tokens beyond which a stream is slow
 CUT_LINE, CUT_SESSION = 0.85, 0.5  # what is left of the limit after a round of slow lines, of slow sessions
 BACK = 2.0  # s without slow sessions before the limit grows again: an editor's next prompt comes by then
 HALF_LIFE = 3.0  # s, of what sessions meet
@@ -72,7 +73,7 @@
     def line_answered(self, sent: float, part: float, held_back: bool, now: float) -> None:
         """A line's first token came after `part` of its target."""
         self.answers += 1
-        self.slow_lines += part > SLOW_LINE
+        self.slow_lines += part > (ALONE if self.sessions.lately(now) < EVIDENCE else SLOW_LINE)
         if sent < self.round_from:
             return
         if self.slow_lines > SOME * self.answers:
@@ -82,10 +83,10 @@
         self.answers = self.slow_lines = 0
         self.round_from = now
 
-    def line_streamed(self, part: float) -> None:
+    def line_streamed(self, part: float, now: float) -> None:
         """The same of a line's tokens."""
         self.answers += 1
-        self.slow_lines += part > PACE
+        self.slow_lines += part > (1.0 if self.sessions.lately(now) < EVIDENCE else PACE)
 
     def room(self, out: int, now: float) -> int:
         """How many more lines may go out. A limit of nothing comes back by itself, with one line."""
