--- a/heathford/batch/runner.py
+++ b/heathford/batch/runner.py
@@ -16,6 +16,7 @@
 from heathford.batch.lines import Checked, Cutter, Line, LineError, read_line
 from heathford.batch.scheduling import Fair, Limit, Queue
 from heathford.batch.shelf import Answers, Shelf, new_id
+from heathford.core.tasks import Tasks
 from heathford.sessions.guidance import Retry
 from heathford.sessions.session import Desk, Session
 from heathford.store.format import Change
@@ -120,7 +121,7 @@
         desk.heard, desk.heard_pace = self.limit.session_answered, self.limit.session_streamed
         self.out = 0
         self.stopping = False
-        self.tasks: dict[asyncio.Task[None], None] = {}
+        self.tasks = Tasks("batches")
         self.changed = asyncio.Event()
         self.written = 0
 
@@ -131,7 +132,7 @@
         await self.keep(batch)
         self.batches[batch.id] = batch
         self.shelf.hold(file)
-        self.spawn(self.check(batch))
+        self.tasks.spawn(self.check(batch))
         return batch
 
     async def cancel(self, batch: Batch) -> None:
@@ -154,15 +155,15 @@
         for batch in list(self.batches.values()):
             if batch.status not in OVER:
                 self.shelf.hold(batch.input_file)
-                self.spawn(self.check(batch))
-        self.spawn(self.run())
+                self.tasks.spawn(self.check(batch))
+        self.tasks.spawn(self.run())
 
     async def stop(self) -> None:
         """What is out is left to its identity: the next start asks for it by its key."""
         self.stopping = True
         for running in list(self.running.values()):
             await self.write(running)
-        tasks = list(self.tasks)
+        tasks = list(self.tasks.running)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -170,16 +171,6 @@
             if running.answers:
                 running.answers.close()
 
-    def spawn(self, work: Any) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks[task] = None
-        task.add_done_callback(self.done)
-
-    def done(self, task: "asyncio.Task[None]") -> None:
-        self.tasks.pop(task, None)
-        if not task.cancelled() and task.exception():
-            log.error("batch task failed", exc_info=task.exception())
-
     async def keep(self, batch: Batch, *more: Change) -> None:
         await self.store.write(
             [Change(SPACE, batch.id.encode(), orjson.dumps(batch.kept())), *more])
@@ -314,7 +305,7 @@
         running.ready[not good].append(orjson.dumps(answer) + b"\n")
         running.marked.append((index, good))
         if len(running.marked) == 1:
-            self.spawn(self.write_soon(running))
+            self.tasks.spawn(self.write_soon(running))
 
     async def write_soon(self, running: Running) -> None:
         await asyncio.sleep(GROUP)
@@ -335,7 +326,7 @@
             running.ready = (ready[0] + running.ready[0], ready[1] + running.ready[1])
             running.marked = marked + running.marked
             await asyncio.sleep(DISK_AGAIN)
-            self.spawn(self.write_soon(running))
+            self.tasks.spawn(self.write_soon(running))
             return
         batch.outputs = counts
         for index, good in marked:
@@ -350,7 +341,7 @@
     def end_soon(self, running: Running, how: Status) -> None:
         if running.ending is None:
             running.ending = how
-            self.spawn(self.end(running, how))
+            self.tasks.spawn(self.end(running, how))
 
     async def end(self, running: Running, how: Status) -> None:
         """Nothing new goes out; what is out ends; then the files get their names, whole."""
--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -12,6 +12,7 @@
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
 from heathford.core.doors import CallEvents, Endpoint
+from heathford.core.tasks import Tasks
 from heathford.engines.answers import cached, chunk, load_of, read_answer, verdict_of
 from heathford.wire.http1 import EventStream, NonsenseError, Response, request
 from heathford.engines.letting_go import LettingGo
@@ -43,7 +44,7 @@
         self.stream_silence, self.longest_line, self.source = stream_silence, longest_line, source
         self.pin_limit, self.tls = pin_limit, tls
         self.pools: dict[tuple[str, int], Connections] = {}
-        self.tasks: dict[asyncio.Task[None], None] = {}
+        self.tasks = Tasks("link")
         self.stopped = False
 
     def send(
@@ -51,11 +52,11 @@
         timeout: float, events: CallEvents,
     ) -> "HttpCall":
         call = HttpCall(self, endpoint, events)
-        self.spawn(call.run(encoded(endpoint, name, body, kv, mark), timeout))
+        self.tasks.spawn(call.run(encoded(endpoint, name, body, kv, mark), timeout))
         return call
 
     def release(self, endpoint: Endpoint, name: str) -> None:
-        self.spawn(self.let_go(endpoint, name))
+        self.tasks.spawn(self.let_go(endpoint, name))
 
     async def let_go(self, endpoint: Endpoint, name: str) -> None:
         loop = asyncio.get_running_loop()
@@ -89,16 +90,6 @@
 
     # Connections.
 
-    def spawn(self, work: Any) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self.tasks[task] = None
-        task.add_done_callback(self.done)
-
-    def done(self, task: "asyncio.Task[None]") -> None:
-        self.tasks.pop(task, None)
-        if not task.cancelled() and task.exception():
-            log.error("link task failed", exc_info=task.exception())
-
     def pool(self, endpoint: Endpoint) -> Connections:
         return self.pools.setdefault((endpoint.address, endpoint.port), Connections())
 
--- a/heathford/front/process.py
+++ b/heathford/front/process.py
@@ -169,9 +169,8 @@
                     taken.abandon("the front stopped")
                 await asyncio.sleep(0)
         self.sockets.close()
-        while self.link.tasks:
-            await asyncio.wait(list(self.link.tasks), timeout=self.link.pin_limit)
-            break
+        if self.link.tasks.running:
+            await asyncio.wait(list(self.link.tasks.running), timeout=self.link.pin_limit)
         for task in (self.following, *self.watching):
             task.cancel()
         self.link.stop()
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -237,9 +237,9 @@
     await start.http.aclose()
     start.served.server.stop()
     if kill:  # nothing more is written or told
-        for task in list(start.runner.tasks):
+        for task in list(start.runner.tasks.running):
             task.cancel()
-        await asyncio.gather(*start.runner.tasks, return_exceptions=True)
+        await asyncio.gather(*start.runner.tasks.running, return_exceptions=True)
         start.served.link.held = True
         for call in list(start.served.link.calls):
             call.cancelled = True
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -49,14 +49,18 @@
 
     def vanish(self, served: Served) -> None:
         """As a front that is killed: connections end, and none is taken."""
-        def kill() -> None:
-            served.server.stop()
+        self.call(served.server.stop)
+        self.cut(served)
+
+    def cut(self, served: Served) -> None:
+        """All its connections break."""
+        def close() -> None:
             for socket in list(served.sockets.open):
                 if socket.protocol:
                     socket.protocol.stream.close()
             for connection in list(served.server._connections):
                 connection.stream.close()
-        self.call(kill)
+        self.call(close)
 
 
 @pytest.fixture
@@ -233,13 +237,7 @@
         async for part in client.stream("w", "x" * 400, max_tokens=30, repeatable=False, timeout=5.0):
             got += part
             if len(got) == 5:
-                def cut() -> None:
-                    for socket in list(fronts[0].sockets.open):
-                        if socket.protocol:
-                            socket.protocol.stream.close()
-                    for connection in list(fronts[0].server._connections):
-                        connection.stream.close()
-                fleet.call(cut)
+                fleet.cut(fronts[0])
         assert got == "t" * 30
         assert fronts[0].core.tally.taken == 1 and fronts[0].link.sent == 2 and not fronts[1].core.tally.taken
     two_fronts(fleet, kind, scene, Effect.NON_IDEMPOTENT)
@@ -254,13 +252,7 @@
             async for part in client.stream("w", "x" * 400, max_tokens=30, timeout=5.0):
                 got += part
                 if len(got) == 5:
-                    def cut() -> None:
-                        for socket in list(fronts[0].sockets.open):
-                            if socket.protocol:
-                                socket.protocol.stream.close()
-                        for connection in list(fronts[0].server._connections):
-                            connection.stream.close()
-                    fleet.call(cut)
+                    fleet.cut(fronts[0])
         assert problem.value.text == got and fronts[0].core.tally.taken == 2
     two_fronts(fleet, kind, scene)
 
