--- a/benchmarks/batch_day.py
+++ b/benchmarks/batch_day.py
@@ -15,7 +15,7 @@
 from tornado.httpclient import AsyncHTTPClient
 
 from heathford.days.judge import judge
-from heathford.days.play import play_day, sums
+from heathford.days.play import Sum, play_day, sums
 from heathford.days.recording import events
 from heathford.days.words import DAY_WORDS
 from heathford.script.script import read_script
@@ -78,7 +78,7 @@
     asyncio.run(play_day(
         read_script(folder / "script.star"), read_script(folder / "day.star", DAY_WORDS), seconds, seed, path,
         logs=path.with_suffix(".log"), beside=counts.beside if batches else None))
-    total = sums(path)["headline"]
+    total = sums(path).get("headline", Sum())
     broken = len(judge(events(path)).findings())
     return (total.in_time / max(1, total.asked), total.outcomes.get("finished", 0),
             sum(counts.completed.values()), broken)
