--- a/benchmarks/store_cost.py
+++ b/benchmarks/store_cost.py
@@ -16,7 +16,6 @@
 
 from hdrh.histogram import HdrHistogram
 
-from heathford.store import decisions
 from heathford.store.files import RealFiles
 from heathford.store.format import Change
 from heathford.store.journal import Journal, recover
@@ -149,7 +148,6 @@
             folder = root / f"recover-{records}"
             took = recovery(folder, records)
             print(f"recovery of {records:,} records: {took:.2f} s", flush=True)
-        assert decisions.RATIO
 
 
 if __name__ == "__main__":
--- a/heathford/batch/lines.py
+++ b/heathford/batch/lines.py
@@ -72,19 +72,17 @@
         self.rest = bytearray()
         self.at = 0  # of the rest's beginning
         self.number = 0
-        self.skips = False  # within a line that is too long
+        self.lost = 0  # bytes passed over of a line that is too long
 
     def feed(self, data: bytes) -> Iterator[tuple[int, int, int, bytes]]:
         """Number, place, size and content of each line; of one too long only what was kept, cut."""
         self.rest += data
         while (end := self.rest.find(b"\n")) >= 0:
             yield from self.one(bytes(self.rest[:end]), end + 1)
-        if len(self.rest) > LONGEST_LINE + 1 and not self.skips:
-            self.skips = True
-        if self.skips and len(self.rest) > LONGEST_LINE + 1:
-            extra = len(self.rest) - (LONGEST_LINE + 1)
+        extra = len(self.rest) - (LONGEST_LINE + 1)
+        if extra > 0:
             del self.rest[-extra:]
-            self.lost = getattr(self, "lost", 0) + extra
+            self.lost += extra
 
     def end(self) -> Iterator[tuple[int, int, int, bytes]]:
         """The last line, where no newline ends it."""
@@ -92,8 +90,8 @@
             yield from self.one(bytes(self.rest), len(self.rest))
 
     def one(self, line: bytes, size: int) -> Iterator[tuple[int, int, int, bytes]]:
-        lost, self.lost = getattr(self, "lost", 0), 0
-        place, self.skips = self.at, False
+        lost, self.lost = self.lost, 0
+        place = self.at
         self.at += size + lost
         del self.rest[:size]
         self.number += 1
--- a/heathford/batch/runner.py
+++ b/heathford/batch/runner.py
@@ -41,6 +41,7 @@
     answers: Answers | None = None
     ready: tuple[list[bytes], list[bytes]] = field(default_factory=lambda: ([], []))
     marked: list[tuple[int, bool]] = field(default_factory=list)  # of what is ready
+    settled: dict[int, None] = field(default_factory=dict)  # whose answer is ready or written
     ending: Status | None = None
 
 
@@ -300,8 +301,9 @@
 
     def settle(self, running: Running, index: int, good: bool, answer: dict[str, Any]) -> None:
         """Its answer is to be written, once."""
-        if running.batch.is_done(index) or any(index == i for i, _ in running.marked[-64:]):
+        if running.batch.is_done(index) or index in running.settled:
             return
+        running.settled[index] = None
         running.ready[not good].append(orjson.dumps(answer) + b"\n")
         running.marked.append((index, good))
         if len(running.marked) == 1:
--- a/heathford/client/http.py
+++ b/heathford/client/http.py
@@ -13,7 +13,7 @@
 from heathford.client.answers import BadRequest
 from heathford.client.base import Client, TroubleError
 from heathford.client.retry import Trouble
-from heathford.wire.http1 import EventStream, NonsenseError, Response, request
+from heathford.wire.http1 import EventStream, NonsenseError, Response, json_object, request
 
 CONNECT = 1.0  # s in which a front that is there takes a connection
 GRACE = 0.5  # s beyond its time in which the front's own answer may still come
@@ -115,12 +115,10 @@
 
     def fail(self, status: int, body: bytes) -> None:
         try:
-            said = orjson.loads(body)
-        except orjson.JSONDecodeError:
-            said = {}
-        why = str(said.get("detail") or f"status {status}") if isinstance(said, dict) else f"status {status}"
-        if not isinstance(said, dict):
+            said = json_object(body)
+        except NonsenseError:
             said = {}
+        why = str(said.get("detail") or f"status {status}")
         retry, completion = str(said.get("retry") or ""), str(said.get("completion") or "")
         if status == 429:
             raise TroubleError(Trouble.REFUSED, why, float(said.get("retry_after") or 0.0), retry, completion)
--- a/heathford/completions/handler.py
+++ b/heathford/completions/handler.py
@@ -9,7 +9,7 @@
 from tornado.web import RequestHandler
 
 from heathford.completions import answers
-from heathford.sessions.guidance import Retry, after_refusal
+from heathford.sessions.guidance import Retry, after_refusal, told
 from heathford.sessions.offers import ParamsError
 from heathford.sessions.session import Desk, Session
 from heathford.sessions.versions import BEFORE, HEADER, VersionError, of_header
@@ -131,16 +131,13 @@
                      answers.whole(completion, self.model, text, reason, usage))
 
     def rate_limited(self, key: Any, completion: str, retry_after: float) -> None:
-        self.say(*answers.refusal(completion, retry_after, **self.guidance(after_refusal())))
-
-    def guidance(self, retry: Retry) -> dict[str, Any]:
-        return {"retry": retry.value} if self.version > BEFORE else {}
+        self.say(*answers.refusal(completion, retry_after, **told(after_refusal(), self.version)))
 
     def aborted(self, key: Any, completion: str, why: str, retry: Retry) -> None:
         if self.begun:
-            self.stream(answers.broken(completion, why, **self.guidance(retry)), end=True)
+            self.stream(answers.broken(completion, why, **told(retry, self.version)), end=True)
         else:
-            self.say(*answers.failure(completion, why, **self.guidance(retry)))
+            self.say(*answers.failure(completion, why, **told(retry, self.version)))
 
     def conflict(self, key: Any) -> None:
         self.say(422, {"Content-Type": answers.PROBLEM}, answers.problem(
--- a/heathford/front/memory.py
+++ b/heathford/front/memory.py
@@ -90,11 +90,12 @@
         if not kept.needs_promise(effect):
             then(True)
             return
-        store = self.store
+        if self.store is None:
+            self.go_without(then)
+            return
         try:
-            if store is None:
-                raise StoreError("no store", None)  # type: ignore[arg-type]
-            written = store.put(kept.SPACE, kept.key_of(member, mark), kept.out(digest, effect), self.keep)
+            written = self.store.put(
+                kept.SPACE, kept.key_of(member, mark), kept.out(digest, effect), self.keep)
         except StoreError:
             self.go_without(then)
             return
--- a/heathford/front/process.py
+++ b/heathford/front/process.py
@@ -5,7 +5,6 @@
 import ssl
 import sys
 import time
-from pathlib import Path
 from collections.abc import Callable
 
 import structlog
@@ -96,9 +95,9 @@
         self.folder = script.path.parent / kept[0].folder / self.declared.name if kept else None
         self.serves_without = bool(kept) and kept[0].without == "serve"
         self.memory: Memory | None = None
-        declared = script.all("batches")
-        self.batches = BatchFiles(script.path.parent / declared[0].folder, declared[0].most_file,
-                                  declared[0].most_files) if declared else None
+        batches = script.all("batches")
+        self.batches = batches[0] if batches else None
+        self.script_folder = script.path.parent
         self.runner: Runner | None = None
         self.application = application
         self.stop_within = figures.stop_within
@@ -117,7 +116,7 @@
             await memory.begin(self.core.tally)
             self.desk.memory = memory
             if self.batches and memory.store:
-                folder = self.batches.folder_of(self.declared.name)
+                folder = self.script_folder / self.batches.folder / self.declared.name
                 shelf = Shelf(folder, memory.store, self.batches.most_file, self.batches.most_files)
                 self.runner = Runner(self.desk, memory.store, shelf, loop.time)
                 self.application.add_handlers(".*", batch_routes(self.runner, self.desk.offers.members))
@@ -185,16 +184,6 @@
         self.stopped.set()
 
 
-class BatchFiles:
-    """Where batches' files are, and their bounds in bytes."""
-
-    def __init__(self, folder: Path, most_file: int, most_files: int) -> None:
-        self.folder, self.most_file, self.most_files = folder, most_file, most_files
-
-    def folder_of(self, front: str) -> Path:
-        return self.folder / front
-
-
 def instance_name(front: str) -> str:
     """Guards against a front that restarts and calls a dispatch as it did before: engines would hold the two
     for one, and let go of the wrong state."""
--- a/heathford/sessions/guidance.py
+++ b/heathford/sessions/guidance.py
@@ -3,6 +3,7 @@
 from enum import Enum
 
 from heathford.interface import Effect
+from heathford.sessions.versions import BEFORE
 
 
 class Retry(Enum):
@@ -13,6 +14,11 @@
     NEVER = "never"
 
 
+def told(retry: Retry, version: int) -> dict[str, str]:
+    """The field that says it, in the versions that have it."""
+    return {"retry": retry.value} if version > BEFORE else {}
+
+
 def after_refusal() -> Retry:
     return Retry.ANYWHERE
 
--- a/heathford/sessions/rpc.py
+++ b/heathford/sessions/rpc.py
@@ -5,11 +5,11 @@
 
 import orjson
 
-from heathford.sessions.guidance import Retry, after_refusal
+from heathford.sessions.guidance import Retry, after_refusal, told
 from heathford.sessions.limits import known
 from heathford.sessions.offers import ParamsError
 from heathford.sessions.session import Desk, Session
-from heathford.sessions.versions import BEFORE, PRESENT
+from heathford.sessions.versions import PRESENT
 
 PARSE, REQUEST, METHOD, PARAMS = -32700, -32600, -32601, -32602  # JSON-RPC's own
 RATE_LIMITED, ABORTED = -32001, -32002  # within the range that JSON-RPC leaves to servers
@@ -119,14 +119,11 @@
 
     def rate_limited(self, key: Any, completion: str, retry_after: float) -> None:
         data: dict[str, Any] = {"completion": completion} if completion else {}
-        data |= {"retry_after": retry_after, "final": "rate-limited"} | self.guidance(after_refusal())
+        data |= {"retry_after": retry_after, "final": "rate-limited"} | told(after_refusal(), self.version)
         self.error(key, RATE_LIMITED, "rate-limited", data)
 
-    def guidance(self, retry: Retry) -> dict[str, Any]:
-        return {"retry": retry.value} if self.version > BEFORE else {}
-
     def aborted(self, key: Any, completion: str, why: str, retry: Retry) -> None:
-        data = {"final": "aborted"} | self.guidance(retry)
+        data = {"final": "aborted"} | told(retry, self.version)
         data |= {"completion": completion} if completion else {}
         self.error(key, ABORTED, why, data)
 
--- a/heathford/store/format.py
+++ b/heathford/store/format.py
@@ -6,7 +6,7 @@
 """
 
 import struct
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from google_crc32c import value as crc32c
@@ -136,13 +136,6 @@
         return None
 
 
-def records(data: bytes, at: int = HEADER.size) -> Iterator[tuple[Record, int]]:
-    """Whole records one after the other, each with where it ends."""
-    while (found := record_at(data, at)) is not None:
-        yield found
-        at = found[1]
-
-
 def proof_after(data: bytes, at: int, lost: int) -> Record | None:
     """A whole record somewhere beyond `at` which proves that the one of sequence `lost` was on disk.
 
