--- a/heathford/cli/batch.py
+++ b/heathford/cli/batch.py
@@ -5,13 +5,12 @@
 import sys
 from collections.abc import Callable, Coroutine
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import click
 
-from heathford.client.answers import BadRequest, CompletionError
-from heathford.client.batches import OVER, Batches
-from heathford.tls.files import PROTOCOLS
+if TYPE_CHECKING:
+    from heathford.client.batches import Batches
 
 URL = click.option("--url", required=True, help="The front that has it: http(s)://HOST:PORT")
 MEMBER = click.option("--member", default="", help="For whom.")
@@ -19,7 +18,9 @@
                          help="Certificates of the authorities to trust, in PEM.")
 
 
-def batches_of(url: str, member: str, authority: Path | None) -> Batches:
+def batches_of(url: str, member: str, authority: Path | None) -> "Batches":
+    from heathford.client.batches import Batches
+    from heathford.tls.files import PROTOCOLS
     tls = None
     if authority:
         tls = ssl.create_default_context(cafile=str(authority))
@@ -29,6 +30,7 @@
 
 def run(work: Coroutine[Any, Any, int]) -> None:
     """Exits 0 where all went well, 1 where the batch or the front did not, 2 where it is not to be asked."""
+    from heathford.client.answers import BadRequest, CompletionError
     try:
         code = asyncio.run(work)
     except BadRequest as problem:
@@ -44,7 +46,7 @@
     return f"{found['id']} {found['status']}: {counts['completed']} of {counts['total']} answered{wrong}"
 
 
-async def watched(batches: Batches, batch: str) -> dict[str, Any]:
+async def watched(batches: "Batches", batch: str) -> dict[str, Any]:
     """Until it is over, on a terminal with a bar where rich is there."""
     found: dict[str, Any] = {}
     bar = progress()
@@ -122,6 +124,8 @@
                   help="The folder that gets NAME_output.jsonl and NAME_error.jsonl.")
     def fetch(url: str, member: str, authority: Path | None, name: str, to: Path) -> None:
         """Writes the answers and errors of a batch that is over, each whole or not at all."""
+        from heathford.client.batches import OVER
+
         async def work() -> int:
             async with batches_of(url, member, authority) as batches:
                 found = await batches.get(name)
--- a/heathford/cli/main.py
+++ b/heathford/cli/main.py
@@ -1,10 +1,11 @@
 """The commands."""
 
 import asyncio
+import os
 import sys
 from collections.abc import Mapping
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import click
 import orjson
@@ -12,18 +13,22 @@
 from heathford import __version__
 from heathford.cli import logs
 from heathford.cli.batch import add_to
-from heathford.script.script import Script, ScriptError, read_script
-from heathford.script.words import WORDS, Word
+
+if TYPE_CHECKING:
+    from heathford.script.script import Script
+    from heathford.script.words import Word
 
 URLS = "A front's address: ws(s)://HOST:PORT/v1/sessions or http(s)://HOST:PORT; may be given again."
 SCRIPT = click.argument("script", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 
 
-def checked(path: Path, words: Mapping[str, Word] = WORDS) -> Script:
+def checked(path: Path, words: "Mapping[str, Word] | None" = None) -> "Script":
+    from heathford.script.script import ScriptError, read_script
+    from heathford.script.words import WORDS
     from heathford.tls.files import key_mistakes
     try:
-        script = read_script(path, words)
-        if words is WORDS and (wrong := key_mistakes(script)):
+        script = read_script(path, words or WORDS)
+        if words is None and (wrong := key_mistakes(script)):
             raise ScriptError(wrong)
     except ScriptError as problem:
         click.echo(str(problem), err=True)
@@ -71,6 +76,18 @@
     asyncio.run(run_front(declared, number, (host, int(port)), ready, with_parent))
 
 
+@cli.command()
+def platform() -> None:
+    """Runs one front node of the platform, as its NODE_* variables tell; exits 2 where they can't be used."""
+    from heathford.platform.process import run_node
+    from heathford.platform.start import StartError
+    try:
+        asyncio.run(run_node(os.environ))
+    except StartError as problem:
+        click.echo(f"heathford: {problem}", err=True)
+        sys.exit(2)
+
+
 @cli.group("stand-in")
 def stand_in() -> None:
     """Stand-ins for engines and their list, one a process."""
--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Mapping, Sequence
+from math import inf
 from traceback import walk_tb
 from typing import Any
 
@@ -37,7 +38,7 @@
 
     def __init__(self, taken: "Taken", seq: int, endpoint: Endpoint, now: float) -> None:
         self.taken, self.seq, self.endpoint, self.sent = taken, seq, endpoint, now
-        self.name = f"{taken.name}.{seq}"
+        self.name = taken.name if taken.one_name else f"{taken.name}.{seq}"
         self.reading = endpoint.role is Role.READER
         self.streaming = self.over = False
         self.call: Call | None = None
@@ -50,12 +51,13 @@
         latency = core.loop.time() - self.sent
         if taken.timer:
             taken.timer.cancel()
-        taken.timer = core.loop.call_at(core.loop.time() + core.stream_limit, taken.stream_too_long)
+        if core.stream_limit < inf:
+            taken.timer = core.loop.call_at(core.loop.time() + core.stream_limit, taken.stream_too_long)
         core.tell(taken, lambda handle: handle.first_token(self.seq, latency))
 
-    def tokens(self, text: str) -> None:
+    def tokens(self, part: Any) -> None:
         if self.streaming and not self.over and not self.taken.over:
-            self.taken.sink.tokens(text)
+            self.taken.sink.tokens(part)
 
     def ended(
         self, verdict: Verdict, detail: int, load: Mapping[str, float], answer: Mapping[str, Any]
@@ -74,7 +76,7 @@
         elif self.reading and verdict not in NEVER_RAN:
             # Guards against a read that ends unseen: its state may wait at the reader though we were never
             # told of it, and only its name lets it go. Harms nothing where there is none.
-            core.link.release(self.endpoint, self.name)
+            taken.let_go(self)
         if verdict is Verdict.FINISHED:
             taken.finish(answer.get("reason") or "stop", answer.get("usage") or {})
         elif self.streaming:
@@ -87,15 +89,16 @@
     """A completion that a front handed over, until its final answer and the end of its last dispatch."""
 
     def __init__(
-        self, core: "Core", sink: Sink, name: str, body: Mapping[str, Any], mark: str, due: float,
+        self, core: "Core", sink: Sink, name: str, one_name: bool, body: Any, mark: str, due: float,
     ) -> None:
         self.core, self.sink, self.name, self.body, self.mark = core, sink, name, body, mark
-        self.due = due
+        self.one_name, self.due = one_name, due  # one_name: its dispatches are all called as itself
         self.handle: Completion | None = None
         self.dispatches: list[Dispatch] = []
         self.out: Dispatch | None = None
         self.kv: Mapping[str, Any] | None = None
         self.state_at: Dispatch | None = None  # the reading dispatch that left the state
+        self.owed: Dispatch | None = None  # left a state, perhaps, that is still to be let go
         self.over = False  # final answer given, or the client has gone
         self.abandoned = False  # its decision failed: nothing more is asked of its handle
         self.timer: Cancellable | None = core.loop.call_at(due + core.answer_margin / 2, self.overdue)
@@ -125,7 +128,7 @@
 
     def release(self) -> None:
         if self.state_at:
-            self.core.link.release(self.state_at.endpoint, self.state_at.name)
+            self.let_go(self.state_at)
         self.kv = self.state_at = None
 
     # What the front says.
@@ -144,6 +147,20 @@
         if self.close("finished"):
             self.core.guarded(lambda: self.sink.finished(reason, usage))
 
+    def let_go(self, dispatch: Dispatch) -> None:
+        """Guards against a release that takes a later dispatch's state: where all have one name it waits
+        until none is out, as seen at the end of a turn. Till then nothing is pinned with none out."""
+        if self.one_name:
+            self.owed = dispatch
+            self.core.check_gone(self)
+        else:
+            self.core.link.release(dispatch.endpoint, dispatch.name)
+
+    def settle(self) -> None:
+        if self.owed and self.out is None:
+            owed, self.owed = self.owed, None
+            self.core.link.release(owed.endpoint, owed.name)
+
     def close(self, how: str) -> bool:
         """True for the first call only: a completion gets one final answer."""
         if self.over:
@@ -166,7 +183,11 @@
         client still gets its answer. Could harm if it came before the Router's own, so it waits past that."""
         self.core.tally.late += 1
         log.error("overdue", completion=self.name, out=self.out.name if self.out else None)
-        self.abandon("out of time")
+        self.abort("out of time")
+        if self.out:
+            self.stop(self.out)  # and the Router hears how it ended: else it counts it as out for good
+        else:
+            self.core.tell(self, lambda handle: handle.left())
 
     def stream_too_long(self) -> None:
         self.abort("the stream ran past its limit")
@@ -199,7 +220,8 @@
         self, loop: Loop, link: Link, name: str, seed: int, kinds: Sequence[Kind],
         workloads: Sequence[Workload], number: int, fronts: int, zone: int, try_limit: int, pin_limit: float,
         may_cancel: bool, longest_retry: float, warm_after: float, cold_from: float, cold_multiple: float,
-        cold_window: float, answer_margin: float, stream_limit: float,
+        cold_window: float, answer_margin: float, stream_limit: float = inf, may_delay_retries: bool = True,
+        subscribe: bool = False,
     ) -> None:
         self.loop, self.link, self.name, self.workloads = loop, link, name, workloads
         self.answer_margin, self.stream_limit = answer_margin, stream_limit
@@ -215,8 +237,7 @@
         self.idle: list[Callable[[], None]] = []  # called once nothing is live
         self.router = Router(
             self.clock, self, seed, kinds, workloads, number, fronts, zone, try_limit, pin_limit, may_cancel,
-            may_delay_retries=True, longest_retry=longest_retry, warm_after=warm_after, cold_from=cold_from,
-            cold_multiple=cold_multiple, cold_window=cold_window, subscribe=False)
+            may_delay_retries, longest_retry, warm_after, cold_from, cold_multiple, cold_window, subscribe)
 
     # What the Router asks for: heathford.interface.InstanceDoor.
 
@@ -233,16 +254,17 @@
 
     def take(
         self, sink: Sink, workload: int, member: int, session: str, shared: str, prompt: int,
-        shared_tokens: int, longest: int, timeout: float, body: Mapping[str, Any], mark: str = "",
-        received: float | None = None,
+        shared_tokens: int, longest: int, timeout: float, body: Any, mark: str = "",
+        received: float | None = None, name: str = "", answer_hint: float = 0.0,
     ) -> Taken:
         """Takes a completion: lengths in tokens, timeout in s from `received` (else now) after which the
-        client gives up. The final answer comes before that, by the sink."""
+        client gives up. The final answer comes before that, by the sink. name: by which its client and all
+        engines know it, where the protocol has one; answer_hint: s that the answer should take, 0 unknown."""
         self.count += 1
         self.tally.taken += 1
         since = self.loop.time() if received is None else received
         due = since + timeout - self.answer_margin
-        taken = Taken(self, sink, f"cmpl-{self.name}-{self.count}", body, mark, due)
+        taken = Taken(self, sink, name or f"cmpl-{self.name}-{self.count}", bool(name), body, mark, due)
         self.live[taken] = None
 
         def begin() -> None:
@@ -250,7 +272,7 @@
                 taken.abandoned = True
                 return
             taken.handle = self.router.take(
-                taken, workload, member, session, shared, prompt, shared_tokens, longest, 0.0, due)
+                taken, workload, member, session, shared, prompt, shared_tokens, longest, answer_hint, due)
         self.happened(taken, begin)
         return taken
 
@@ -264,6 +286,9 @@
                 self.endpoints[endpoint.number] = endpoint
                 self.router.list_row(endpoint.number, zone, kind, cell, health, size, started)
             self.router.list_ends()
+            if len(self.endpoints) > len(self.router.engines):
+                # Engines come and go under ever new names: only those that the Router still holds are kept.
+                self.endpoints = {n: e for n, e in self.endpoints.items() if n in self.router.engines}
         self.happened(None, play)
 
     # Turns.
@@ -303,6 +328,7 @@
         self.decide()
         touched, self.touched = self.touched, {}
         for taken in touched:
+            taken.settle()
             if taken.gone:
                 self.live.pop(taken, None)
         if not self.live and self.idle:
--- a/heathford/core/doors.py
+++ b/heathford/core/doors.py
@@ -10,7 +10,8 @@
 class Sink(Protocol):
     """Where a completion's tokens and its one final answer go; the core calls one of the last three, once."""
 
-    def tokens(self, text: str) -> None: ...
+    def tokens(self, part: Any) -> None:
+        """As the link tells them, untouched: text, or events as bytes."""
 
     def finished(self, reason: str, usage: Mapping[str, Any]) -> None: ...
 
@@ -44,7 +45,7 @@
 
     def first_token(self) -> None: ...
 
-    def tokens(self, text: str) -> None: ...
+    def tokens(self, part: Any) -> None: ...
 
     def ended(
         self, verdict: Verdict, detail: int, load: Mapping[str, float], answer: Mapping[str, Any]
@@ -54,10 +55,11 @@
 
 class Link(Protocol):
     def send(
-        self, endpoint: Endpoint, name: str, body: Mapping[str, Any], kv: Mapping[str, Any] | None, mark: str,
+        self, endpoint: Endpoint, name: str, body: Any, kv: Mapping[str, Any] | None, mark: str,
         timeout: float, events: CallEvents,
     ) -> Call:
-        """Starts one dispatch, called `name` to the engine; `kv`: the read state that a writer takes up;
+        """Starts one dispatch, called `name` to the engine; `body`: what is asked, untouched by the core, as
+        the front and this link know it; `kv`: the read state that a writer takes up;
         `mark`: by which a tokened repeat is known, or empty. Tells of nothing before it has returned."""
 
     def release(self, endpoint: Endpoint, name: str) -> None:
--- a/heathford/drill/wire.py
+++ b/heathford/drill/wire.py
@@ -5,14 +5,10 @@
 from collections.abc import Callable
 from typing import Any
 
+from heathford.bootinfo import NS, figures_of
 from heathford.choice import Router
-from heathford.interface import Effect, Group, Handle, Health, Kind, Role, Verdict, Workload
+from heathford.interface import Handle, Health, Verdict
 
-NS = 1_000_000_000
-
-EFFECTS = {"free": Effect.IDEMPOTENT, "guarded": Effect.TOKENED, "single_shot": Effect.NON_IDEMPOTENT}
-GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
-ROLES = {"read": Role.READER, "write": Role.WRITER, "both": Role.MIXED}
 HEALTHS = {"on": Health.ON, "fading": Health.DRAINING, "off": Health.GONE}
 VERDICTS = {
     "delivered": Verdict.FINISHED, "app_error": Verdict.ERROR, "shed": Verdict.FULL,
@@ -61,25 +57,9 @@
         self.who, self.output = who, output
         self.handles: dict[str, Handle] = {}
         info = event["bootInfo"]
-        family, limits, safety = info["familyInfo"], info["policyLimits"], info["safety"]
-        stretch = family.get("aimUsPer1000PromptTokens") or [0.0] * len(info["categories"])
         self.router = Router(
-            clock, self, seed=event["rngSeed"],
-            kinds=[Kind(ROLES[role], memory) for role, memory in
-                   zip(family["roleByKind"], family["memoryTokens"], strict=True)],
-            workloads=[
-                Workload(
-                    latency_target=c["objectiveNs"] / NS, target_per_1000=more / 1e6, token_target=token / NS,
-                    effect=EFFECTS[c["idempotency"]], group=GROUPS[c.get("group") or "all"],
-                    memory_time=c.get("keyTtlNs", 0) / NS, value=c.get("worth", 1.0))
-                for c, more, token in
-                zip(info["categories"], stretch, family["tokenAimNs"], strict=True)],
-            number=info.get("myNumber", 0), fronts=info.get("nInstances", 1), zone=info.get("zone", 0),
-            try_limit=limits["tryLimit"], pin_limit=family["pinLimitNs"] / NS,
-            may_cancel=limits.get("cancel", False), may_delay_retries=limits.get("retryAfter", False),
-            longest_retry=limits.get("maxRetryAfterNs", 0) / NS, warm_after=safety["warmAfterNs"] / NS,
-            cold_from=safety["coldFrom"], cold_multiple=safety["tipMultiple"],
-            cold_window=safety["fallNs"] / NS, subscribe=info.get("registryMode") == "subscribe")
+            clock, self, event["rngSeed"], subscribe=info.get("registryMode") == "subscribe",
+            **figures_of(info))
 
     def act(self, name: str, fields: dict[str, Any]) -> None:
         self.output.append({name: {"who": self.who, **fields}})
--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -3,8 +3,8 @@
 import asyncio
 import socket
 import ssl
-from collections import deque
 from collections.abc import Mapping
+from math import inf
 from typing import Any
 
 import orjson
@@ -14,6 +14,7 @@
 from heathford.core.doors import CallEvents, Endpoint
 from heathford.core.tasks import Tasks
 from heathford.engines.answers import cached, chunk, load_of, read_answer, verdict_of
+from heathford.engines.pools import Connections, Pools
 from heathford.wire.http1 import EventStream, NonsenseError, Response, request
 from heathford.engines.letting_go import LettingGo
 from heathford.interface import Role, Verdict
@@ -23,14 +24,6 @@
 log = structlog.get_logger()
 
 
-class Connections:
-    """Connections to one endpoint: those idle, newest last, and a count of all."""
-
-    def __init__(self) -> None:
-        self.idle: deque[tuple[IOStream, float]] = deque()
-        self.open = 0
-
-
 class EngineLink:
     """connect_timeout, idle and stream_silence in s; connections at most for each engine; source: the local
     address that connections are made from, or empty; pin_limit: s within which a state is let go. tls: what
@@ -40,10 +33,10 @@
         self, connect_timeout: float, connections: int, idle: float, stream_silence: float, longest_line: int,
         pin_limit: float, source: str = "", tls: ssl.SSLContext | None = None,
     ) -> None:
-        self.connect_timeout, self.most, self.idle_life = connect_timeout, connections, idle
+        self.connect_timeout, self.most = connect_timeout, connections
         self.stream_silence, self.longest_line, self.source = stream_silence, longest_line, source
         self.pin_limit, self.tls = pin_limit, tls
-        self.pools: dict[tuple[str, int], Connections] = {}
+        self.pools: Pools[IOStream] = Pools(idle, inf)
         self.tasks = Tasks("link")
         self.stopped = False
 
@@ -90,18 +83,15 @@
 
     # Connections.
 
-    def pool(self, endpoint: Endpoint) -> Connections:
-        return self.pools.setdefault((endpoint.address, endpoint.port), Connections())
+    def pool(self, endpoint: Endpoint) -> Connections[IOStream]:
+        return self.pools.pool(endpoint.address, endpoint.port)
 
-    async def connection(self, endpoint: Endpoint, pool: Connections) -> IOStream:
+    async def connection(self, endpoint: Endpoint, pool: Connections[IOStream]) -> IOStream:
         """Raises OSError or StreamClosedError where none can be had."""
-        now = asyncio.get_running_loop().time()
-        while pool.idle:
-            stream, since = pool.idle.pop()
-            if not stream.closed() and now - since < self.idle_life:
-                stream.set_close_callback(None)
-                return stream
-            stream.close()
+        stream = self.pools.idle_one(pool, asyncio.get_running_loop().time())
+        if stream:
+            stream.set_close_callback(None)
+            return stream
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -112,7 +102,7 @@
             raise
         stream = (SSLIOStream(sock, read_chunk_size=READ_BYTES, ssl_options=self.tls) if self.tls
                   else IOStream(sock, read_chunk_size=READ_BYTES))
-        pool.open += 1
+        self.pools.opening(pool)
         try:
             await stream.connect((endpoint.address, endpoint.port), endpoint.name if self.tls else None)
         except BaseException:
@@ -120,30 +110,25 @@
             raise
         return stream
 
-    def give_back(self, pool: Connections, stream: IOStream, keep: bool) -> None:
+    def give_back(self, pool: Connections[IOStream], stream: IOStream, keep: bool) -> None:
         if not keep or stream.closed() or self.stopped:
             self.drop(pool, stream)
             return
         now = asyncio.get_running_loop().time()
-        while pool.idle and now - pool.idle[0][1] >= self.idle_life:
-            pool.idle.popleft()[0].close()
-        pool.idle.append((stream, now))
-
-        def closed() -> None:
-            # An engine that closes a kept connection is seen at once: a dispatch written into a dead one
-            # may have run for all we know, and a completion that can't repeat would be lost by it.
-            pool.open -= 1
-            pool.idle = deque((s, t) for s, t in pool.idle if s is not stream)
-        stream.set_close_callback(closed)
+        self.pools.sweep(now)
+        self.pools.keep(pool, stream, now)
+        # An engine that closes a kept connection is seen at once: a dispatch written into a dead one
+        # may have run for all we know, and a completion that can't repeat would be lost by it.
+        stream.set_close_callback(lambda: self.pools.lost(pool, stream))
 
-    def drop(self, pool: Connections, stream: IOStream) -> None:
+    def drop(self, pool: Connections[IOStream], stream: IOStream) -> None:
         stream.set_close_callback(None)
-        pool.open -= 1
+        self.pools.lost(pool, stream)
         stream.close()
 
     def stop(self) -> None:
         self.stopped = True
-        for pool in self.pools.values():
+        for pool in list(self.pools.pools.values()):
             for stream, _ in list(pool.idle):
                 stream.close()
 
--- /dev/null
+++ b/heathford/engines/pools.py
@@ -0,0 +1,81 @@
+"""Kept connections by the address they lead to; no I/O of its own."""
+
+from collections import deque
+from typing import Generic, Protocol, TypeVar
+
+Address = tuple[str, int]
+
+
+class Closable(Protocol):
+    def closed(self) -> bool: ...
+
+    def close(self) -> None: ...
+
+
+C = TypeVar("C", bound=Closable)
+
+
+class Connections(Generic[C]):
+    """Connections to one address: those idle, newest last, with when they became so; a count of all."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.idle: deque[tuple[C, float]] = deque()
+        self.open = 0
+
+
+class Pools(Generic[C]):
+    """idle_life: s for which an idle connection is used again; most: connections in all, by which room is
+    made for a new one."""
+
+    def __init__(self, idle_life: float, most: float) -> None:
+        self.idle_life, self.most = idle_life, most
+        self.pools: dict[Address, Connections[C]] = {}
+        self.open = 0
+
+    def pool(self, address: str, port: int) -> Connections[C]:
+        key = address, port
+        if key not in self.pools:
+            self.pools[key] = Connections(key)
+        return self.pools[key]
+
+    def idle_one(self, pool: Connections[C], now: float) -> C | None:
+        """The one used last, which is the least likely to be closed from the other side."""
+        while pool.idle:
+            connection, since = pool.idle.pop()
+            if not connection.closed() and now - since < self.idle_life:
+                return connection
+            connection.close()
+        return None
+
+    def opening(self, pool: Connections[C]) -> bool:
+        """Counts a new connection, if there is room for one or an idle one can make way."""
+        if self.open >= self.most:
+            oldest = min((p for p in self.pools.values() if p.idle), key=lambda p: p.idle[0][1], default=None)
+            if oldest is None:
+                return False
+            oldest.idle.popleft()[0].close()
+        self.pools[pool.address] = pool
+        pool.open += 1
+        self.open += 1
+        return True
+
+    def keep(self, pool: Connections[C], connection: C, now: float) -> None:
+        pool.idle.append((connection, now))
+
+    def lost(self, pool: Connections[C], connection: C | None) -> None:
+        """Called once for each that was opened. Nothing is left of an address without connections: engines
+        come and go under new ones, and a map of all that ever were would grow for as long as a front runs."""
+        pool.open -= 1
+        self.open -= 1
+        if connection is not None:
+            pool.idle = deque((c, t) for c, t in pool.idle if c is not connection)
+        if not pool.open and self.pools.get(pool.address) is pool:
+            del self.pools[pool.address]
+
+    def sweep(self, now: float) -> None:
+        """Closes what idles too long. Guards against connections to engines that vanished: they stay open
+        for good, and each takes a descriptor."""
+        for pool in list(self.pools.values()):
+            while pool.idle and now - pool.idle[0][1] >= self.idle_life:
+                pool.idle.popleft()[0].close()
--- /dev/null
+++ b/heathford/fleet/instances.py
@@ -0,0 +1,93 @@
+"""The platform's list of instances: whole lists and watch lines into rows for the core; no I/O."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from heathford.core.doors import Endpoint
+from heathford.fleet.follow import ListError, Row, number_of
+from heathford.interface import Health, Role
+from heathford.wire.http1 import json_object
+
+STATES = {"SERVING": Health.ON, "DRAINING": Health.DRAINING, "DELETED": Health.GONE}
+AGAIN = 0.05  # s before a failed call is made again: the agent is on this machine and answers at no cost
+AGAIN_MOST = 0.8  # s, doubled up to here: news counts as told some seconds after it is there, heard or not
+SILENCE = 5.0  # s without a byte after which a watch is dead: an empty line comes each 2
+LONGEST = 4_194_304  # bytes of a list: thousands of engines
+
+
+class Instances:
+    """The list as last told. kinds: name to place and role; zones: names to places. An entry that can't be
+    read is passed over, told by `passed`; a version older than the one held is news replayed."""
+
+    def __init__(self, kinds: Mapping[str, tuple[int, Role]], zones: Sequence[str]) -> None:
+        self.kinds, self.zones = kinds, {zone: place for place, zone in enumerate(zones)}
+        self.version = -1
+        self.endpoints: dict[str, Endpoint] = {}
+        self.started: dict[str, tuple[int, float]] = {}  # as told, and s on the front's clock
+        self.passed: dict[str, str] = {}
+        self.failures = 0
+
+    def told(self, body: bytes, now: float, wall: float) -> tuple[bool, list[Row]] | None:
+        """One object: whether it is complete, and its rows; None if it is old. Raises ListError."""
+        return self.told_object(json_object(body), now, wall)
+
+    def told_object(
+        self, told: Mapping[str, Any], now: float, wall: float
+    ) -> tuple[bool, list[Row]] | None:
+        version, complete, entries = told.get("rev"), told.get("all"), told.get("targets")
+        if not isinstance(version, int) or not isinstance(complete, bool) or not isinstance(entries, list):
+            raise ListError("an object without rev, all and targets")
+        if version < self.version:
+            # Guards against news replayed: an engine long drained must not look open again. Could harm where
+            # discovery starts over from nothing; it says so by an older list each time, and is told.
+            return None
+        self.failures = 0
+        rows: list[Row] = []
+        listed: dict[str, None] = {}
+        self.passed = {}
+        for entry in entries:
+            try:
+                uid, row = self.row(entry, now, wall)
+            except ListError as problem:
+                self.passed[str(entry)[:80]] = str(problem)
+                if isinstance(entry, dict) and isinstance(entry.get("uid"), str):
+                    listed[entry["uid"]] = None  # it is there, though not as we can read it: kept as it was
+                continue
+            listed[uid] = None
+            rows.append(row)
+            if row[4] is Health.GONE:
+                self.forget(uid)
+        if complete:
+            for uid in [uid for uid in self.endpoints if uid not in listed]:
+                self.forget(uid)
+        self.version = version
+        return complete and not self.passed, rows
+
+    def forget(self, uid: str) -> None:
+        self.endpoints.pop(uid, None)
+        self.started.pop(uid, None)
+
+    def row(self, entry: Any, now: float, wall: float) -> tuple[str, Row]:
+        try:
+            uid, boot = entry["uid"], int(entry.get("boot_ms", 0))
+            host, _, port = entry["endpoint"].rpartition(":")
+            place, role = self.kinds[entry["model"]]
+            zone, health = self.zones[entry["az"]], STATES[entry["state"]]
+            group, size = int(entry.get("pod_group", 0)), float(entry.get("capacity_hint", 1.0))
+            number = int(port)
+            endpoint = self.endpoints.get(uid)
+        except (KeyError, TypeError, ValueError, AttributeError) as problem:
+            raise ListError(f"an instance that can't be read: {problem!r}") from None
+        if endpoint is None or (endpoint.address, endpoint.port, endpoint.role) != (host, number, role):
+            endpoint = self.endpoints[uid] = Endpoint(number_of(uid), uid, role, host, number)
+        told, started = self.started.get(uid, (-1, 0.0))
+        if told != boot:
+            # Kept by what was told, so that a clock that is set does not make a running process look new.
+            started = max(now - max(wall - boot / 1000, 0.0), 1e-6) if boot else 0.0
+            self.started[uid] = boot, started
+        return uid, (endpoint, zone, place, group, health, size, started)
+
+    def failed(self) -> float:
+        """s until discovery is asked again: doubled for each failure in a row."""
+        self.failures += 1
+        return float(min(AGAIN * 2 ** min(self.failures - 1, 8), AGAIN_MOST))
--- /dev/null
+++ b/heathford/platform/door.py
@@ -0,0 +1,255 @@
+"""Clients: their connections, what they ask in turn, and the sinks that stream answers back.
+
+On asyncio's transports, as the link is. Bounds here guard the process; what is answered comes from the core.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from typing import Any
+
+import structlog
+
+from heathford.core.core import Core, Taken
+from heathford.platform.asking import ask
+from heathford.wire.requests import RefusedError, Request
+
+LONGEST_HEAD = 16_384  # bytes: clients' heads have a few hundred
+LONGEST_BODY = 262_144  # bytes: what the protocol allows
+AHEAD = 65_536  # bytes read of what follows a request that is open; more waits in the socket
+UNSENT = 1_048_576  # bytes not yet taken by a client that reads slowly, after which it has left
+FIRST = 2.0  # s for a connection's first request, or the rest of any begun: clients are owed a close within 3
+IDLE = 30.0  # s that a connection is kept between requests: clients come back within seconds or not at all
+SWEEP = 0.25  # s between two looks at what idles: small beside FIRST
+LAST_WORDS = 1.0  # s for which a refused client's bytes are still read, so that it can read why
+
+REASONS = {
+    200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
+    409: "Conflict", 413: "Content Too Large", 417: "Expectation Failed",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
+    502: "Bad Gateway", 503: "Service Unavailable", 505: "HTTP Version Not Supported"}
+STREAM = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n%b\r\n"
+CLOSING = b"Connection: close\r\n"
+
+log = structlog.get_logger()
+
+
+def whole(status: int, text: str, close: bool, more: str = "") -> bytes:
+    body = text.encode() + b"\n"
+    closing = "Connection: close\r\n" if close else ""
+    return (f"HTTP/1.1 {status} {REASONS[status]}\r\nContent-Type: text/plain\r\n"
+            f"Content-Length: {len(body)}\r\n{closing}{more}\r\n").encode() + body
+
+
+class Door:
+    """All clients' connections of one front. connections: at most, in all."""
+
+    def __init__(self, core: Core, workloads: Mapping[str, int], connections: int) -> None:
+        self.core, self.workloads, self.most = core, workloads, connections
+        self.loop = asyncio.get_running_loop()
+        self.clients: dict[ClientConnection, None] = {}
+        self.open: dict[str, Taken] = {}  # completions that clients wait for, by the clients' names
+        self.ready = False
+        self.stopping = False
+        self.refused: dict[int, int] = {}  # by status: what was never taken
+        self.turned_out = 0  # connections closed to make room
+
+    def connection(self) -> "ClientConnection":
+        return ClientConnection(self)
+
+    def opened(self, client: "ClientConnection") -> None:
+        if len(self.clients) >= self.most and not self.make_room():
+            client.answer(whole(503, "too many connections", True), False)
+        self.clients[client] = None
+
+    def make_room(self) -> bool:
+        """Guards against clients that connect by the hundreds and say nothing: those without an open request
+        make way, who never asked for anything first, then who waits longest. Could harm a client whose
+        connection is closed as it asks; it asks again on a new one."""
+        free = [c for c in self.clients if c.taken is None]
+        oldest = min(free, key=lambda c: (c.served, c.since), default=None)
+        if oldest is None:
+            return False
+        self.turned_out += 1
+        oldest.drop()
+        return True
+
+    def sweep(self, now: float) -> None:
+        for client in list(self.clients):
+            if client.taken is not None:
+                continue
+            if client.closing:
+                if now - client.since >= LAST_WORDS:
+                    client.drop()
+            elif client.request.begun or not client.served:
+                if now - client.since >= FIRST:
+                    self.refused[408] = self.refused.get(408, 0) + 1
+                    client.answer(whole(408, "no whole request in time", True), False)
+            elif now - client.since >= IDLE:
+                client.finish()
+
+    def close_idle(self) -> None:
+        for client in list(self.clients):
+            if client.taken is None and not client.request.begun and not client.closing:
+                client.finish()
+
+
+class ClientConnection(asyncio.Protocol):
+    """One client's connection and the sink of the completion that is open on it."""
+
+    def __init__(self, door: Door) -> None:
+        self.door = door
+        self.transport: asyncio.Transport | None = None
+        self.request = Request(LONGEST_HEAD, LONGEST_BODY)
+        self.taken: Taken | None = None
+        self.name = ""  # of the completion that is open
+        self.ahead = bytearray()  # what came behind the request that is open
+        self.since = door.loop.time()  # when it connected, was last answered, or began to ask
+        self.served = 0  # answers given
+        self.begun = False  # the head of the answer has gone out
+        self.closing = False
+
+    # What the transport says.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.door.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self.closing:
+            return
+        if self.taken is not None:
+            self.ahead += data
+            if len(self.ahead) > AHEAD and self.transport:
+                self.transport.pause_reading()
+            return
+        if not self.request.begun:
+            self.since = max(self.since, self.door.loop.time()) if self.served else self.since
+        self.read(data)
+
+    def connection_lost(self, problem: Exception | None) -> None:
+        self.door.clients.pop(self, None)
+        self.closing = True
+        self.leave()
+
+    def leave(self) -> None:
+        taken = self.taken
+        if taken is not None:
+            self.forget()
+            taken.leave()
+
+    # Requests.
+
+    def read(self, data: bytes) -> None:
+        door, request = self.door, self.request
+        try:
+            request.feed(data)
+            if not request.done:
+                if request.waits:
+                    request.waits = False
+                    self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                return
+            if request.target.partition("?")[0] == "/health/ready" and request.method == "GET":
+                ready = door.ready and not door.stopping
+                self.answer(whole(200 if ready else 503, "ready" if ready else "not ready", door.stopping),
+                            request.keep)
+                return
+            self.begun = False
+            self.taken = ask(door.core, self, request, door.workloads, door.open, door.loop.time())
+            self.name = request.headers["x-call-id"]
+            door.open[self.name] = self.taken
+        except RefusedError as problem:
+            door.refused[problem.status] = door.refused.get(problem.status, 0) + 1
+            # What was whole but made no sense leaves the connection in order; anything else does not.
+            keep = request.done and request.keep
+            self.answer(whole(problem.status, str(problem), not keep), keep)
+
+    def next(self) -> None:
+        """The connection is between requests again."""
+        rest, self.ahead = self.request.rest + bytes(self.ahead), bytearray()
+        self.request = Request(LONGEST_HEAD, LONGEST_BODY)
+        if self.transport and not self.transport.is_closing():
+            self.transport.resume_reading()
+        if rest:
+            self.door.loop.call_soon(self.read_on, rest)
+
+    def read_on(self, rest: bytes) -> None:
+        if not self.closing and self.taken is None:
+            self.read(rest)
+
+    def forget(self) -> None:
+        self.door.open.pop(self.name, None)
+        self.taken, self.name = None, ""
+
+    # Answers.
+
+    def write(self, data: bytes) -> None:
+        transport = self.transport
+        if transport is None or transport.is_closing():
+            return
+        transport.write(data)
+        if transport.get_write_buffer_size() > UNSENT:
+            # Guards against a client that asks and does not read. Could harm one on a line slower than its
+            # own answer for a thousand events.
+            self.drop()
+            self.leave()
+
+    def answer(self, data: bytes, keep: bool) -> None:
+        """A whole answer; after it the connection waits for the next request, or closes."""
+        self.write(data)
+        self.served += 1
+        self.since = self.door.loop.time()
+        if keep and not self.door.stopping:
+            self.next()
+        else:
+            self.finish()
+
+    def finish(self) -> None:
+        """Closes once all is written. What still comes is read for a while: closed with bytes unread, the
+        answer would be lost on its way."""
+        self.closing = True
+        self.since = self.door.loop.time()
+        transport = self.transport
+        if transport and not transport.is_closing():
+            if self.request.begun and not self.request.done:
+                transport.write_eof()
+            else:
+                transport.close()
+
+    def drop(self) -> None:
+        self.closing = True
+        self.door.clients.pop(self, None)
+        if self.transport:
+            self.transport.abort()
+
+    # What the core says: heathford.core.doors.Sink.
+
+    def tokens(self, part: Any) -> None:
+        chunk = b"%x\r\n%b\r\n" % (len(part), part)
+        if not self.begun:
+            self.begun = True
+            chunk = STREAM % (CLOSING if self.ends_after else b"") + chunk
+        self.write(chunk)
+
+    @property
+    def ends_after(self) -> bool:
+        return self.door.stopping or not self.request.keep
+
+    def finished(self, reason: str, usage: Mapping[str, Any]) -> None:
+        keep = not self.ends_after
+        self.forget()
+        self.answer(b"0\r\n\r\n", keep)
+
+    def rate_limited(self, retry_after: float) -> None:
+        keep = not self.ends_after
+        self.forget()
+        more = f"Retry-After: {retry_after:.3f}\r\n" if retry_after > 0.0 else ""
+        self.answer(whole(503, "busy: nothing was done", not keep, more), keep)
+
+    def aborted(self, why: str) -> None:
+        keep = not self.ends_after
+        self.forget()
+        if self.begun:
+            self.drop()  # without the last chunk: what came is not whole
+        else:
+            self.answer(whole(502, why, not keep), keep)
--- /dev/null
+++ b/heathford/platform/link.py
@@ -0,0 +1,360 @@
+"""Carries dispatches to engines in the platform's protocol, over kept connections.
+
+On asyncio's transports, the layer beneath Tornado's streams: a stream tells neither of bytes that nobody
+asked for on an idle connection nor whether a request's last byte was written. Costs: docs/design/platform.md.
+"""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import structlog
+
+from heathford.core.doors import CallEvents, Endpoint
+from heathford.core.tasks import Tasks
+from heathford.engines.letting_go import LettingGo
+from heathford.engines.pools import Connections, Pools
+from heathford.interface import Role, Verdict
+from heathford.platform.answers import LONGEST_LINE, Answer
+from heathford.wire.http1 import NonsenseError, Response, request
+
+IDLE_PART = 0.6  # of the time after which engines close idle connections: one written into then is lost
+SILENCE = 4.0  # s without an event after which a stream is held for dead: clients may be kept waiting for 5
+ROOMS = "/bootstrap/rooms/"
+
+log = structlog.get_logger()
+
+
+class EngineConnection(asyncio.Protocol):
+    """One connection to an engine, used by one exchange at a time or idle."""
+
+    def __init__(self, link: "PlatformLink", pool: Connections["EngineConnection"]) -> None:
+        self.link, self.pool = link, pool
+        self.transport: asyncio.Transport | None = None
+        self.user: Exchange | None = None
+        self.unwritten = False  # part of what was sent has not left yet
+        self.counted = True
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        transport.set_write_buffer_limits(high=0)  # so that pause and resume tell of unwritten bytes
+
+    def pause_writing(self) -> None:
+        self.unwritten = True
+
+    def resume_writing(self) -> None:
+        self.unwritten = False
+
+    def write(self, data: bytes) -> None:
+        assert self.transport
+        self.transport.write(data)
+        if self.transport.is_closing():  # it broke while it was written
+            self.unwritten = True
+
+    def data_received(self, data: bytes) -> None:
+        if self.user:
+            self.user.heard(data)
+        else:
+            # Guards against an answer to nothing: the next dispatch would take it for its own.
+            self.close()
+
+    def connection_lost(self, problem: Exception | None) -> None:
+        self.uncount()
+        if self.user:
+            user, self.user = self.user, None
+            user.lost(self.unwritten)
+
+    def uncount(self) -> None:
+        if self.counted:
+            self.counted = False
+            self.link.pools.lost(self.pool, self)
+
+    def closed(self) -> bool:
+        return self.transport is None or self.transport.is_closing()
+
+    def close(self) -> None:
+        """At once, with what is unwritten."""
+        self.user = None
+        self.uncount()
+        if self.transport:
+            self.transport.abort()
+
+
+class Exchange:
+    """One request on its way: connect, send, answer; `over` once nothing more is wanted of it."""
+
+    def __init__(self, link: "PlatformLink", endpoint: Endpoint) -> None:
+        self.link, self.endpoint = link, endpoint
+        self.loop = link.loop
+        self.connection: EngineConnection | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.over = False
+
+    def connect(self, data: Callable[[], bytes], within: float) -> None:
+        """An idle connection, or a new one within that many s."""
+        pools = self.link.pools
+        pool = pools.pool(self.endpoint.address, self.endpoint.port)
+        kept = pools.idle_one(pool, self.loop.time())
+        if kept:
+            self.begin(kept, data())
+        elif pools.opening(pool):
+            self.expect(within, self.unreached)
+            self.link.tasks.spawn(self.open(pool, data))
+        else:
+            self.crowded()
+
+    async def open(self, pool: Connections[EngineConnection], data: Callable[[], bytes]) -> None:
+        connection = EngineConnection(self.link, pool)
+        try:
+            await asyncio.wait_for(
+                self.loop.create_connection(
+                    lambda: connection, self.endpoint.address, self.endpoint.port),
+                self.link.connect_timeout)
+        except (OSError, TimeoutError):
+            connection.close()
+            if not self.over:
+                self.unreached()
+            return
+        except BaseException:
+            connection.close()
+            raise
+        if self.over:
+            self.link.give_back(connection)
+        elif connection.closed():
+            connection.uncount()
+            self.unreached()
+        else:
+            self.begin(connection, data())
+
+    def begin(self, connection: EngineConnection, data: bytes) -> None:
+        self.connection, connection.user = connection, self
+        self.sending()
+        connection.write(data)
+
+    def expect(self, seconds: float, then: Callable[[], None]) -> None:
+        if self.timer:
+            self.timer.cancel()
+        self.timer = self.loop.call_later(seconds, then)
+
+    def stop(self, keep: bool) -> None:
+        """Nothing more is wanted. A connection with anything still to come is closed, not used again."""
+        self.over = True
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        connection, self.connection = self.connection, None
+        if connection:
+            connection.user = None
+            if keep:
+                self.link.give_back(connection)
+            else:
+                connection.close()
+
+    def sending(self) -> None:
+        """About to be written."""
+
+    def heard(self, data: bytes) -> None:
+        raise NotImplementedError
+
+    def lost(self, unwritten: bool) -> None:
+        raise NotImplementedError
+
+    def unreached(self) -> None:
+        raise NotImplementedError
+
+    def crowded(self) -> None:
+        raise NotImplementedError
+
+
+class EngineCall(Exchange):
+    """One dispatch. Ends once, with the first thing that ends it."""
+
+    def __init__(
+        self, link: "PlatformLink", endpoint: Endpoint, name: str, body: tuple[str, bytes], timeout: float,
+        events: CallEvents,
+    ) -> None:
+        super().__init__(link, endpoint)
+        self.name, self.body, self.events = name, body, events
+        self.until = self.loop.time() + timeout
+        self.answer = Answer(endpoint.role is Role.READER)
+        self.heard_at = 0.0  # when the last event came
+        self.begun = False
+
+    def start(self) -> None:
+        if self.over:
+            return
+        left = self.until - self.loop.time()
+        if left <= 0.0:
+            self.end(Verdict.UNSENT)
+            return
+        self.connect(self.encoded, min(left, self.link.connect_timeout))
+
+    def encoded(self) -> bytes:
+        target, body = self.body
+        left = max(1, int(1000 * (self.until - self.loop.time())))
+        return request("POST", target, self.endpoint.address,
+                       {"X-Call-Id": self.name, "X-Budget-Ms": str(left)}, body)
+
+    def cancel(self) -> None:
+        self.end(Verdict.CANCELLED)
+
+    def end(self, verdict: Verdict, detail: int = 0, keep: bool = False) -> None:
+        if self.over:
+            return
+        self.stop(keep)
+        self.link.ends[verdict] = self.link.ends.get(verdict, 0) + 1
+        self.events.ended(verdict, detail, {}, {"kv": {}})
+
+    def sending(self) -> None:
+        self.expect(max(0.0, self.until - self.loop.time()), self.timed_out)
+
+    def timed_out(self) -> None:
+        self.end(Verdict.TIMED_OUT)
+
+    def unreached(self) -> None:
+        self.end(Verdict.UNREACHABLE)
+
+    def crowded(self) -> None:
+        """All our connections are in use: nothing was sent, and for us this engine is full."""
+        self.end(Verdict.FULL)
+
+    def lost(self, unwritten: bool) -> None:
+        self.connection = None
+        self.end(Verdict.UNREACHABLE if unwritten else Verdict.BROKEN)
+
+    def heard(self, data: bytes) -> None:
+        try:
+            events = self.answer.feed(data)
+            done = self.answer.response.done
+            verdict, detail = self.answer.verdict() if done else (Verdict.ERROR, 0)
+        except NonsenseError as problem:
+            self.link.nonsense(self.endpoint, problem)
+            self.end(Verdict.ERROR)
+            return
+        if events:
+            self.heard_at = self.loop.time()
+            if not self.begun:
+                self.begun = True
+                self.events.first_token()
+                self.expect(SILENCE, self.look_for_silence)
+            self.events.tokens(events)
+        if done:
+            self.end(verdict, detail, keep=self.answer.keep)
+
+    def look_for_silence(self) -> None:
+        """One timer that looks again, not one an event."""
+        left = self.heard_at + SILENCE - self.loop.time()
+        if left <= 0.0:
+            self.end(Verdict.TIMED_OUT)
+        else:
+            self.expect(left, self.look_for_silence)
+
+
+class Release(Exchange):
+    """One try to let go of all that is held for a completion."""
+
+    def __init__(self, link: "PlatformLink", endpoint: Endpoint, name: str, patience: float) -> None:
+        super().__init__(link, endpoint)
+        self.response = Response(LONGEST_LINE, LONGEST_LINE, strict=False)
+        self.status: asyncio.Future[int] = self.loop.create_future()
+        self.until = self.loop.time() + patience
+        self.connect(lambda: request("DELETE", ROOMS + name, endpoint.address, {}, b""), patience)
+
+    def end(self, status: int, keep: bool = False) -> None:
+        if not self.over:
+            self.stop(keep)
+            self.status.set_result(status)
+
+    def sending(self) -> None:
+        self.expect(max(0.0, self.until - self.loop.time()), self.unreached)
+
+    def heard(self, data: bytes) -> None:
+        try:
+            for _ in self.response.feed(data):
+                pass
+        except NonsenseError:
+            self.end(0)
+            return
+        if self.response.done:
+            self.end(self.response.status, self.response.keep)
+
+    def lost(self, unwritten: bool) -> None:
+        self.connection = None
+        self.end(0)
+
+    def unreached(self) -> None:
+        self.end(0)
+
+    def crowded(self) -> None:
+        self.end(0)
+
+
+class PlatformLink:
+    """connect_timeout, pin_limit, idle (after which engines close) in s; connections: at most, in all."""
+
+    def __init__(self, connect_timeout: float, pin_limit: float, idle: float, connections: int) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.connect_timeout, self.pin_limit = connect_timeout, pin_limit
+        self.pools: Pools[EngineConnection] = Pools(IDLE_PART * idle, connections)
+        self.tasks = Tasks("link")
+        self.letting_go: dict[str, list[EngineCall]] = {}  # by completion: dispatches that wait for it
+        self.ends: dict[Verdict, int] = {}
+        self.spoilt = self.unreleased = 0
+        self.stopped = False
+
+    def send(
+        self, endpoint: Endpoint, name: str, body: Any, kv: Mapping[str, Any] | None, mark: str,
+        timeout: float, events: CallEvents,
+    ) -> EngineCall:
+        call = EngineCall(self, endpoint, name, body, timeout, events)
+        if name in self.letting_go:
+            # Guards against a DELETE that comes after the dispatch it was sent before: it names the
+            # completion, and would take the state from that one. Costs the wait for its answer.
+            self.letting_go[name].append(call)
+        else:
+            self.loop.call_soon(call.start)
+        return call
+
+    def release(self, endpoint: Endpoint, name: str) -> None:
+        if name not in self.letting_go:
+            self.letting_go[name] = []
+            self.tasks.spawn(self.let_go(endpoint, name))
+
+    async def let_go(self, holder: Endpoint, name: str) -> None:
+        """The holder first; one that can't be reached would keep the state for good, so after that any
+        other: each accepts it. Those that we have a connection to answer soonest."""
+        tries, asked = LettingGo(self.loop.time(), self.pin_limit), [holder]
+        try:
+            while (wait := tries.next_try(self.loop.time())) is not None:
+                if wait:
+                    await asyncio.sleep(wait)
+                attempt = Release(self, asked[-1], name, tries.patience(self.loop.time()))
+                if tries.is_over(await attempt.status):
+                    return
+                known = [(e.address, e.port) for e in asked]
+                other = next((p.address for p in self.pools.pools.values() if p.idle
+                              and p.address not in known), None)
+                asked.append(Endpoint(0, "", holder.role, *other) if other else holder)
+            self.unreleased += 1
+            log.warning("state not let go", completion=name, tried=[f"{e.address}:{e.port}" for e in asked])
+        finally:
+            for call in self.letting_go.pop(name, []):
+                call.start()
+
+    def give_back(self, connection: EngineConnection) -> None:
+        if connection.closed() or self.stopped:
+            connection.close()
+        else:
+            self.pools.keep(connection.pool, connection, self.loop.time())
+
+    def nonsense(self, endpoint: Endpoint, problem: NonsenseError) -> None:
+        self.spoilt += 1
+        if self.spoilt <= 20:  # the first tell what it looks like; the count goes on
+            log.warning("nonsense from an engine", engine=endpoint.name, what=str(problem))
+
+    def stop(self) -> None:
+        self.stopped = True
+        for pool in list(self.pools.pools.values()):
+            for connection, _ in list(pool.idle):
+                connection.close()
--- /dev/null
+++ b/heathford/platform/process.py
@@ -0,0 +1,160 @@
+"""One front node as a process: its core, link, door and watch; signals, limits, and an orderly end."""
+
+import asyncio
+import gc
+import resource
+import signal
+import socket
+import time
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import structlog
+
+from heathford.bootinfo import NS, figures_of, kinds_of
+from heathford.core.core import Core
+from heathford.fleet.instances import Instances
+from heathford.fleet.watch import Watch
+from heathford.platform.door import SWEEP, Door
+from heathford.platform.link import PlatformLink
+from heathford.platform.start import StartError, address_of, from_environment, seed_of, told
+from heathford.wire.http1 import NonsenseError
+
+ANSWER_MARGIN = 0.02  # s before the client timeout by which it is answered: the way to it, and the loop's lag
+CLIENT_PART = 0.5  # of the descriptors: clients hold a third for requests, others come beside them
+ENGINE_PART = 0.4  # of the descriptors: one for each open request, and some idle
+ACCEPTED = 16  # connections accepted in one turn of the loop: those to be closed go between two turns
+BACKLOG = 1024  # connections that wait in the socket
+STILL_ASKED = 0.6  # s after SIGTERM for which clients may still come
+TELL = 5.0  # s between two lines on what this front believes
+
+log = structlog.get_logger()
+
+
+class Node:
+    """told: the configuration, checked."""
+
+    def __init__(
+        self, name: str, listen: tuple[str, int], discovery: tuple[str, int], told: Mapping[str, Any],
+        path: Path,
+    ) -> None:
+        self.name, self.listen, self.path = name, listen, path
+        self.loop = asyncio.get_running_loop()
+        settings = told["settings"]
+        limits, figures = settings["policyLimits"], figures_of(settings)
+        sockets = int(told["limits"].get("sockets") or resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        self.link = PlatformLink(
+            limits["connectTimeoutNs"] / NS, figures["pin_limit"], limits["connIdleNs"] / NS,
+            int(ENGINE_PART * sockets))
+        self.core = Core(
+            self.loop, self.link, name, seed_of(told), answer_margin=ANSWER_MARGIN,
+            subscribe=settings.get("registryMode") == "subscribe", **figures)
+        self.door = Door(
+            self.core, {c["name"]: place for place, c in enumerate(settings["categories"])},
+            int(CLIENT_PART * sockets))
+        self.instances = Instances(
+            {kind: (place, known.role) for place, (kind, known) in
+             enumerate(zip(settings["kinds"], kinds_of(settings), strict=True))}, settings["azs"])
+        self.watch = Watch(*discovery, self.instances, self.core.list_changed)
+        self.ending = asyncio.Event()
+        self.term_at = 0.0
+        self.known = told.get("known")
+        self.server: asyncio.Server | None = None
+        self.lag = 0.0  # the longest that the loop ran behind since it was last told
+
+    async def start(self) -> None:
+        if isinstance(self.known, dict):
+            try:
+                found = self.instances.told_object(self.known, self.loop.time(), time.time())
+                if found:
+                    self.core.list_changed(*found)
+            except NonsenseError as problem:
+                log.error("the engines known from before can't be read", why=str(problem))
+        self.watch.start()
+        sock = socket.create_server(self.listen, backlog=BACKLOG)
+        sock.setblocking(False)
+        # Its backlog is also how many asyncio accepts at once, before any that makes way is really closed.
+        self.server = await self.loop.create_server(self.door.connection, sock=sock, backlog=ACCEPTED)
+        sock.listen(BACKLOG)
+        self.door.ready = True
+        self.sweep()
+        self.tell()
+
+    def sweep(self, due: float = 0.0) -> None:
+        now = self.loop.time()
+        self.lag = max(self.lag, now - due if due else 0.0)
+        self.door.sweep(now)
+        self.link.pools.sweep(now)
+        self.loop.call_at(now + SWEEP, self.sweep, now + SWEEP)
+
+    def tell(self) -> None:
+        """What this front believes, to be held against what crossed the sockets."""
+        tally, router = self.core.tally, self.core.router
+        log.info(
+            "state", taken=tally.taken, finished=tally.finished, limited=tally.rate_limited,
+            aborted=tally.aborted, left=tally.left, late=tally.late, faults=tally.faults,
+            live=len(self.core.live), clients=len(self.door.clients), out=self.door.turned_out,
+            refused=self.door.refused, ends={v.value: n for v, n in self.link.ends.items()},
+            spoilt=self.link.spoilt, unreleased=self.link.unreleased, engines=len(router.engines), conns=self.link.pools.open,
+            version=self.instances.version, lag=round(self.lag, 3),
+            mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
+            cpu=round(time.process_time(), 2))
+        self.lag = 0.0
+        self.loop.call_later(TELL, self.tell)
+
+    def reload(self) -> None:
+        """SIGHUP: follows discovery where the configuration now says it is. One that can't be used is told,
+        and the old one kept; whatever else it changes counts from the next start."""
+        try:
+            found = told(self.path)
+        except StartError as problem:
+            log.error("configuration not taken", why=str(problem))
+            return
+        discovery = address_of(found["discovery"], "discovery")
+        log.info("configuration read", discovery=f"{discovery[0]}:{discovery[1]}")
+        if discovery != (self.watch.address, self.watch.port):
+            self.watch.move(*discovery)
+
+    def terminate(self) -> None:
+        if not self.door.stopping:
+            self.term_at = self.loop.time()
+            self.door.stopping = True
+            log.info("ending", open=self.core.open, clients=len(self.door.clients))
+            self.ending.set()
+
+    async def run(self) -> None:
+        await self.start()
+        log.info("ready", name=self.name, listen=f"{self.listen[0]}:{self.listen[1]}")
+        gc.collect()
+        gc.freeze()
+        await self.ending.wait()
+        await self.end()
+
+    async def end(self) -> None:
+        """Serves on for as long as clients may come, then until all that was taken is answered, however long
+        an answer streams: who must have it sooner kills us."""
+        await asyncio.sleep(STILL_ASKED)
+        while True:
+            self.door.close_idle()
+            if not self.core.live and not self.door.clients and not self.link.tasks.running:
+                break
+            await asyncio.sleep(SWEEP)
+        if self.server:
+            self.server.close()
+        self.watch.stop()
+        self.link.stop()
+        tally = self.core.tally
+        log.info("ended", taken=tally.taken, finished=tally.finished, rate_limited=tally.rate_limited,
+                 aborted=tally.aborted, left=tally.left)
+
+
+async def run_node(variables: Mapping[str, str]) -> None:
+    """Runs until SIGTERM or SIGINT; SIGHUP has the configuration read again. Raises StartError."""
+    loop = asyncio.get_running_loop()
+    name, listen, discovery, path = from_environment(variables)
+    node = Node(name, listen, discovery, told(path), path)
+    for sign in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(sign, node.terminate)
+    loop.add_signal_handler(signal.SIGHUP, node.reload)
+    await node.run()
--- a/heathford/wire/http1.py
+++ b/heathford/wire/http1.py
@@ -1,13 +1,20 @@
 """HTTP/1.1 responses and server-sent events, read from bytes as they come; no I/O.
 
+Requests stand beside it in requests.py, on the same framing.
+
 RFC 9112 for framing, the WHATWG HTML standard (section 9.2) for event streams.
 """
 
+import re
 from collections.abc import Iterator
 from typing import Any
 
 import orjson
 
+LONGEST_CHUNK = 1 << 30  # bytes: where nothing stricter is stated, any that is no nonsense
+MOST_TRAILERS = 64  # fields: memory is bounded whatever comes
+SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}")  # int() alone takes signs, underscores and 0x too
+
 
 class NonsenseError(Exception):
     """What came is not what the protocol allows."""
@@ -24,29 +31,24 @@
     return value
 
 
-class Response:
-    """Reads one response. feed() yields body parts; `done` once it is whole."""
+class Message:
+    """The framing that requests and responses share: bytes that came, and a body by length or in chunks.
+
+    longest_line: bytes of a head or a chunk's size line; longest_chunk: bytes that a chunk may state. It
+    guards against a size that is nonsense and would be believed for gigabytes; a chunk that long would harm.
+    """
 
-    def __init__(self, longest_line: int) -> None:
-        self.longest_line = longest_line  # bytes of a head or a chunk's size line
+    def __init__(self, longest_line: int, longest_chunk: int) -> None:
+        self.longest_line, self.longest_chunk = longest_line, longest_chunk
         self.buffer = bytearray()
-        self.status = 0
         self.headers: dict[str, str] = {}
         self.trailers: dict[str, str] = {}
         self.done = self.keep = False
         self.left = 0  # bytes of the body, or of the chunk, still to come
         self.reads = self.read_head
 
-    def feed(self, data: bytes) -> Iterator[bytes]:
-        self.buffer += data
-        while not self.done:
-            part = self.reads()
-            if part is None:
-                return
-            if part:
-                yield part
-        if self.buffer:
-            raise NonsenseError("bytes after the end of a response")
+    def read_head(self) -> bytes | None:
+        raise NotImplementedError
 
     def line(self) -> bytes | None:
         at = self.buffer.find(b"\r\n")
@@ -58,38 +60,6 @@
         del self.buffer[:at + 2]
         return line
 
-    def read_head(self) -> bytes | None:
-        end = self.buffer.find(b"\r\n\r\n")
-        if end < 0:
-            if len(self.buffer) > self.longest_line:
-                raise NonsenseError("a head too long")
-            if self.buffer and not b"HTTP/1.1 ".startswith(self.buffer[:9]):
-                raise NonsenseError("no HTTP/1.1 response")
-            return None
-        first, *lines = bytes(self.buffer[:end]).decode("latin-1").split("\r\n")
-        del self.buffer[:end + 4]
-        parts = first.split(" ", 2)
-        if len(parts) < 2 or parts[0] != "HTTP/1.1" or not (parts[1].isdigit() and len(parts[1]) == 3):
-            raise NonsenseError("no HTTP/1.1 status line")
-        self.status = int(parts[1])
-        self.headers = fields_of(lines)
-        if self.status < 200:  # an interim response: the real one follows
-            self.headers = {}
-            return b""
-        self.keep = self.headers.get("connection", "").lower() != "close"
-        if self.headers.get("transfer-encoding", "").lower() == "chunked":
-            self.reads = self.read_size
-        elif self.status in (204, 304):
-            self.done = True
-        else:
-            length = self.headers.get("content-length", "")
-            if not length.isdigit():
-                raise NonsenseError("a body of no stated length")
-            self.left = int(length)
-            self.reads = self.read_body
-            self.done = self.left == 0
-        return b""
-
     def read_body(self) -> bytes | None:
         part = self.take()
         self.done = self.left == 0
@@ -105,12 +75,12 @@
         line = self.line()
         if line is None:
             return None
-        try:
-            self.left = int(line.split(b";")[0].strip(), 16)
-        except ValueError:
-            raise NonsenseError("a chunk without a size") from None
-        if self.left < 0:
+        size = line.split(b";")[0].strip(b" \t")
+        if not SIZE.fullmatch(size):
             raise NonsenseError("a chunk without a size")
+        self.left = int(size, 16)
+        if self.left > self.longest_chunk:
+            raise NonsenseError("a chunk too long")
         self.reads = self.read_chunk if self.left else self.read_trailers
         return b""
 
@@ -131,11 +101,74 @@
             return None
         if line:
             self.trailers |= fields_of([line.decode("latin-1")])
+            if len(self.trailers) > MOST_TRAILERS:
+                raise NonsenseError("too many trailers")
         else:
             self.done = True
         return b""
 
 
+class Response(Message):
+    """Reads one response. feed() yields body parts; `done` once it is whole.
+
+    strict: bytes behind the end spoil it. Else they belong to nothing that was asked: the answer stands, and
+    the connection is not used again, where they would be taken for the next answer.
+    """
+
+    def __init__(
+        self, longest_line: int, longest_chunk: int = LONGEST_CHUNK, strict: bool = True
+    ) -> None:
+        super().__init__(longest_line, longest_chunk)
+        self.strict = strict
+        self.status = 0
+
+    def feed(self, data: bytes) -> Iterator[bytes]:
+        self.buffer += data
+        while not self.done:
+            part = self.reads()
+            if part is None:
+                return
+            if part:
+                yield part
+        if self.buffer:
+            if self.strict:
+                raise NonsenseError("bytes after the end of a response")
+            self.keep = False
+            self.buffer.clear()
+
+    def read_head(self) -> bytes | None:
+        end = self.buffer.find(b"\r\n\r\n")
+        if end < 0:
+            if len(self.buffer) > self.longest_line:
+                raise NonsenseError("a head too long")
+            if self.buffer and not b"HTTP/1.1 ".startswith(self.buffer[:9]):
+                raise NonsenseError("no HTTP/1.1 response")
+            return None
+        first, *lines = bytes(self.buffer[:end]).decode("latin-1").split("\r\n")
+        del self.buffer[:end + 4]
+        parts = first.split(" ", 2)
+        if len(parts) < 2 or parts[0] != "HTTP/1.1" or not (parts[1].isdigit() and len(parts[1]) == 3):
+            raise NonsenseError("no HTTP/1.1 status line")
+        self.status = int(parts[1])
+        self.headers = fields_of(lines)
+        if self.status < 200:  # an interim response: the real one follows
+            self.headers = {}
+            return b""
+        self.keep = self.headers.get("connection", "").lower() != "close"
+        if self.headers.get("transfer-encoding", "").lower() == "chunked":
+            self.reads = self.read_size
+        elif self.status in (204, 304):
+            self.done = True
+        else:
+            length = self.headers.get("content-length", "")
+            if not length.isdigit():
+                raise NonsenseError("a body of no stated length")
+            self.left = int(length)
+            self.reads = self.read_body
+            self.done = self.left == 0
+        return b""
+
+
 def fields_of(lines: list[str]) -> dict[str, str]:
     fields = {}
     for line in lines:
