--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -96,8 +96,8 @@
             aborted=tally.aborted, left=tally.left, late=tally.late, faults=tally.faults,
             live=len(self.core.live), clients=len(self.door.clients), out=self.door.turned_out,
             refused=self.door.refused, ends={v.value: n for v, n in self.link.ends.items()},
-            spoilt=self.link.spoilt, unreleased=self.link.unreleased, engines=len(router.engines), conns=self.link.pools.open,
-            version=self.instances.version, lag=round(self.lag, 3),
+            spoilt=self.link.spoilt, unreleased=self.link.unreleased, engines=len(router.engines),
+            conns=self.link.pools.open, version=self.instances.version, lag=round(self.lag, 3),
             mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
             cpu=round(time.process_time(), 2))
         self.lag = 0.0
