--- a/benchmarks/platform_memory.py
+++ b/benchmarks/platform_memory.py
@@ -72,7 +72,8 @@
     options.add_argument("--trace", action="store_true")
     asked = options.parse_args()
     chance = random.Random(1)
-    engines = [SlowEngine(f"s-{n}", "m0" if n % 2 else "m1", bool(n % 2)) for n in range(12)]
+    engines: list[ScriptedEngine] = [
+        SlowEngine(f"s-{n}", "m0" if n % 2 else "m1", bool(n % 2)) for n in range(12)]
     agent = Agent(*engines)
     for engine in engines:
         await engine.open()
