Tests of the platform's front: bytes, answers, list, and a real process on loopback

A table for each parser, cut at every byte; every row of outcomes, each spoilt and each odd answer, refusals, silent connections, SIGTERM and SIGHUP, against stand-ins of the protocol.

Found by them: a request whose leading empty line was cut between CR and LF was refused (wire/requests.py, METHOD); a pool asked for and never opened stayed (engines/pools.py).

--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -171,6 +171,7 @@
         loop = asyncio.get_running_loop()
         if self.over:
             return
+        self.pool = self.link.pool(self.endpoint)
         if self.pool.open - len(self.pool.idle) >= self.link.most:
             # All our connections there are in use: nothing was sent, and for us this engine is full.
             self.end(Verdict.FULL)
--- a/heathford/engines/pools.py
+++ b/heathford/engines/pools.py
@@ -34,10 +34,8 @@
         self.open = 0
 
     def pool(self, address: str, port: int) -> Connections[C]:
-        key = address, port
-        if key not in self.pools:
-            self.pools[key] = Connections(key)
-        return self.pools[key]
+        """To be asked for anew before each opening: one without connections is not kept."""
+        return self.pools.get((address, port)) or Connections((address, port))
 
     def idle_one(self, pool: Connections[C], now: float) -> C | None:
         """The one used last, which is the least likely to be closed from the other side."""
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -80,6 +80,7 @@
         # Its backlog is also how many asyncio accepts at once, before any that makes way is really closed.
         self.server = await self.loop.create_server(self.door.connection, sock=sock, backlog=ACCEPTED)
         sock.listen(BACKLOG)
+        self.listen = sock.getsockname()[:2]
         self.door.ready = True
         self.sweep()
         self.tell()
--- a/heathford/standin/platform.py
+++ b/heathford/standin/platform.py
@@ -1,7 +1,8 @@
 """Stand-ins of the platform's protocol: an engine whose answers are scripted, and discovery's agent.
 
 An engine answers each request by the next step of its script, or well once that is used up. A step is a word
-of WORDS, or bytes that are written as they are, after which the connection stays open.
+of WORDS or BREAKS; "hold", which waits for `held` and answers well; "spoil", which begins, waits and goes on
+with noise; or bytes that are written as they are, after which the connection stays open.
 """
 
 import asyncio
@@ -128,6 +129,10 @@
         if step == "hold":
             await self.held.wait()
             step = well
+        if step == "spoil":
+            writer.write(WORDS["begin"])
+            await self.held.wait()
+            step = b"zz\r\n"
         if step in BREAKS:
             assert isinstance(step, str)
             writer.write(BREAKS[step])
--- a/heathford/wire/requests.py
+++ b/heathford/wire/requests.py
@@ -8,7 +8,7 @@
 
 from heathford.wire.http1 import Message, NonsenseError
 
-METHOD = re.compile(rb"[A-Z]{1,16}( |$)")  # what a request can begin with
+METHOD = re.compile(rb"[A-Z]{1,16}( |$)|\r$")  # what a request can begin with, as far as it has come
 FIRST = re.compile(r"([A-Z]{1,16}) (/[!-~]*) HTTP/(\d)\.(\d)")
 NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 VALUE = re.compile(r"[\t -~\x80-\xff]*")
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 import pytest
-from conftest import Instance
+from conftest import Client, Instance
 
 from heathford.choice import Completion
 from heathford.interface import Effect, Health, Verdict
@@ -184,3 +184,61 @@
     i.link.out[-1].events.ended(Verdict.FINISHED, 0, {}, {})
     i.loop.turn()
     assert not i.core.live and i.core.tally.finished == 1
+
+
+def test_one_that_ran_out_of_time_is_no_longer_counted_at_its_engine(instance: New) -> None:
+    """Guards against an engine that looks busy for good: a reader takes two of ours, and two lost ones
+    closed it until the front's end."""
+    i = instance()
+    i.engines(*FLEET)
+    i.link.send = lambda *rest: Lost()  # type: ignore[assignment, method-assign]
+    client, taken = i.take()
+    i.loop.pass_time(10.0)
+    assert client.finals == ["aborted: out of time"]
+    taken.dispatches[0].ended(Verdict.CANCELLED, 0, {}, {})
+    i.loop.turn()
+    assert not i.core.live and not any(e.out for e in i.core.router.engines.values())
+
+
+class Lost:
+    def cancel(self) -> None:
+        """A link that does not tell of the end at once."""
+
+
+def named(new: New) -> tuple[Instance, Any]:
+    i = new()
+    i.engines(*FLEET)
+    taken = i.core.take(Client(), 0, 0, "s", "", 5000, 0, 100, 4.0, "body", name="c0")
+    i.loop.turn()
+    return i, taken
+
+
+def test_under_one_name_a_release_waits_until_no_dispatch_is_out(instance: New) -> None:
+    """Guards against a release that takes the state of the dispatch after it."""
+    i, taken = named(instance)
+    first = i.link.out[-1]
+    assert first.name == "c0"
+    first.events.ended(Verdict.BROKEN, 0, {}, {})  # a read that may have left a state
+    i.loop.turn()
+    second = i.link.out[-1]
+    assert second is not first and second.name == "c0" and i.link.released == []
+    taken.leave()
+    i.loop.pass_time(0.1)
+    assert second.cancelled and i.link.released == ["c0"]
+
+
+def test_what_can_not_be_sent_again_is_let_go(instance: New) -> None:
+    i, taken = named(instance)
+    i.link.out[-1].events.ended(Verdict.READ, 0, {}, {"kv": {}})
+    i.loop.turn()
+    assert taken.body == "body"
+    i.link.out[-1].events.first_token()
+    assert taken.body is None
+
+
+def test_engines_that_left_the_list_are_forgotten(instance: New) -> None:
+    i = instance()
+    for n in range(500):
+        i.engines((n, 0), (n + 1, 1))
+        i.engines((n, 0), health=Health.GONE)
+    assert len(i.core.endpoints) <= 2 and len(i.core.router.engines) <= 2
--- /dev/null
+++ b/tests/test_instances.py
@@ -0,0 +1,119 @@
+"""The platform's list: whole lists, changes, what is old, what can't be read."""
+
+from typing import Any
+
+import orjson
+import pytest
+
+from heathford.engines.pools import Pools
+from heathford.fleet.follow import ListError
+from heathford.fleet.instances import AGAIN_MOST, Instances
+from heathford.interface import Health, Role
+
+KINDS = {"m0": (0, Role.READER), "m1": (1, Role.WRITER)}
+
+
+def entry(uid: str, **more: Any) -> dict[str, Any]:
+    return {"uid": uid, "endpoint": "127.0.0.1:9000", "az": "b", "model": "m1", "pod_group": 3,
+            "state": "SERVING", "capacity_hint": 1.5, "boot_ms": 0, **more}
+
+
+def said(version: Any, complete: Any, *entries: Any) -> bytes:
+    return orjson.dumps({"rev": version, "all": complete, "targets": list(entries)})
+
+
+def brief(found: Any) -> Any:
+    return found and (found[0], [(r[0].name, r[4]) for r in found[1]])
+
+
+def test_a_row_says_all_that_is_told() -> None:
+    instances = Instances(KINDS, ["a", "b"])
+    found = instances.told(said(4, True, entry("s", boot_ms=990_000)), now=50.0, wall=1000.0)
+    assert found and found[0]
+    endpoint, *rest = found[1][0]
+    assert (endpoint.name, endpoint.address, endpoint.port, endpoint.role) == (
+        "s", "127.0.0.1", 9000, Role.WRITER)
+    assert rest == [1, 1, 3, Health.ON, 1.5, 40.0]
+
+
+@pytest.mark.parametrize("lines, told", [
+    ([said(1, True, entry("a"), entry("b")), said(2, False, entry("a", state="DRAINING"))],
+     [(True, [("a", Health.ON), ("b", Health.ON)]), (False, [("a", Health.DRAINING)])]),
+    ([said(2, False, entry("a", state="DELETED")), said(1, True, entry("a"))],
+     [(False, [("a", Health.GONE)]), None]),
+    ([said(2, True, entry("a")), said(2, True, entry("a"))],
+     [(True, [("a", Health.ON)]), (True, [("a", Health.ON)])]),
+    # One that can't be read is passed over, and what was known of it is not taken for gone.
+    ([said(1, True, entry("a"), entry("b", model="m9"))], [(False, [("a", Health.ON)])]),
+    ([said(1, True, entry("a", endpoint=None), entry("b", state="ODD"), 7)], [(False, [])])])
+def test_lines_in_turn(lines: list[bytes], told: list[Any]) -> None:
+    instances = Instances(KINDS, ["a", "b"])
+    assert [brief(instances.told(line, 50.0, 1000.0)) for line in lines] == told
+
+
+@pytest.mark.parametrize("line", [b"", b"[]", b"{", said("1", True), said(1, 1), said(1, True)[:-9] + b"3}"])
+def test_what_is_no_object_of_the_list_is_told(line: bytes) -> None:
+    with pytest.raises(Exception) as problem:
+        Instances(KINDS, ["a"]).told(line, 50.0, 1000.0)
+    assert isinstance(problem.value, ListError) or "JSON" in str(problem.value)
+
+
+def test_a_restart_counts_from_what_was_told_and_an_address_may_change() -> None:
+    instances = Instances(KINDS, ["a", "b"])
+
+    def started(wall: float, **more: Any) -> tuple[float, int]:
+        found = instances.told(said(1, False, entry("s", **more)), 50.0, wall)
+        assert found
+        return found[1][0][6], found[1][0][0].port
+    assert started(1000.0, boot_ms=990_000) == (40.0, 9000)
+    assert started(2000.0, boot_ms=990_000) == (40.0, 9000)  # a clock that is set makes nothing old
+    assert started(1000.0, boot_ms=995_000, endpoint="127.0.0.1:9001") == (45.0, 9001)
+    assert started(1000.0, boot_ms=0) == (0.0, 9000)
+
+
+def test_thousands_of_instances_leave_nothing_behind() -> None:
+    instances = Instances(KINDS, ["a", "b"])
+    for n in range(3000):
+        instances.told(said(n + 1, False, entry(f"s{n}"), entry(f"s{n - 5}", state="DELETED")), 1.0, 1.0)
+    instances.told(said(4000, True, entry("last")), 1.0, 1.0)
+    assert list(instances.endpoints) == ["last"] and list(instances.started) == ["last"]
+
+
+def test_discovery_that_is_down_is_asked_again_within_a_second() -> None:
+    instances = Instances(KINDS, ["a"])
+    waits = [instances.failed() for _ in range(40)]
+    assert waits == sorted(waits) and waits[0] < 0.1 and waits[-1] == AGAIN_MOST < 1.0
+
+
+class Line:
+    def __init__(self, pools: "Pools[Line]", port: int) -> None:
+        self.pools, self.pool, self.shut = pools, pools.pool("h", port), False
+        assert pools.opening(self.pool)
+
+    def closed(self) -> bool:
+        return self.shut
+
+    def close(self) -> None:
+        if not self.shut:
+            self.shut = True
+            self.pools.lost(self.pool, self)
+
+
+def test_connections_are_reused_bounded_and_forgotten() -> None:
+    pools: Pools[Line] = Pools(idle_life=10.0, most=3, settled=0.5)
+    one, two = Line(pools, 1), Line(pools, 1)
+    pools.keep(one.pool, one, 1.0)
+    pools.keep(two.pool, two, 2.0)
+    assert pools.idle_one(pools.pool("h", 1), 2.1) is one  # the newer one is not settled yet
+    assert pools.idle_one(pools.pool("h", 1), 3.0) is two
+    assert pools.idle_one(pools.pool("h", 1), 3.0) is None
+    pools.keep(one.pool, one, 3.0)
+    three, four = Line(pools, 2), Line(pools, 3)  # the third of three makes one idle make way
+    assert one.shut and not two.shut and pools.open == 3
+    assert not pools.opening(pools.pool("h", 4))
+    for line in (two, three, four):
+        pools.keep(line.pool, line, 5.0)
+    pools.sweep(14.9)
+    assert pools.open == 3
+    pools.sweep(15.0)
+    assert pools.open == 0 and not pools.pools
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,395 @@
+"""A front node as a process on loopback: the whole path, each fault, signals; stand-ins of the protocol."""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from heathford.standin.platform import EVENTS, GOOD, Agent, ScriptedEngine, settings
+
+ALL = b"".join(EVENTS)
+LIMIT = 20.0  # s for a test: far beyond what any takes
+
+
+class Client:
+    """One connection; bytes as they come."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    def say(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    async def head(self) -> tuple[int, dict[str, str]]:
+        lines = (await self.reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        return int(lines[0].split()[1]), {
+            k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines[1:] if line)}
+
+    async def answer(self) -> tuple[int, bytes, bool]:
+        """Status, body, and whether it was whole."""
+        status, headers = await self.head()
+        if "content-length" in headers:
+            return status, await self.reader.readexactly(int(headers["content-length"])), True
+        body = b""
+        try:
+            while size := int(await self.reader.readuntil(b"\r\n"), 16):
+                body += (await self.reader.readexactly(size + 2))[:-2]
+            await self.reader.readexactly(2)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return status, body, False
+        return status, body, True
+
+    async def closed(self) -> bytes:
+        """What comes until the other side closes."""
+        try:
+            return await self.reader.read()
+        except ConnectionError:
+            return b""
+
+
+def asked(name: str, budget: str = "4000", workload: str = "chat", prompt: str = "9", body: bytes = b"",
+          more: str = "", target: str = "/v1/chat/completions?v=1") -> bytes:
+    body = body or orjson.dumps({"stream": True, "messages": [{"role": "user", "content": "x" * 36}]})
+    return (f"POST {target} HTTP/1.1\r\nHost: o\r\nX-Call-Id: {name}\r\nX-Call-Class: {workload}\r\n"
+            f"X-Route-Hash: s1\r\nX-Budget-Ms: {budget}\r\n{more}"
+            f"X-Call-Info: prompt_len={prompt},prefix_len=0,max_out=20\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+
+class Node:
+    """A front node's process, its engines and discovery."""
+
+    def __init__(self, folder: Path, *engines: ScriptedEngine) -> None:
+        self.folder, self.engines, self.agent = folder, engines, Agent(*engines)
+        self.process: asyncio.subprocess.Process | None = None
+        self.clients: list[Client] = []
+        self.said: list[dict[str, Any]] = []
+
+    async def start(self, sockets: int = 256, **limits: Any) -> None:
+        for engine in self.engines:
+            await engine.open()
+        await self.agent.open()
+        self.config: dict[str, Any] = {
+            "discovery": self.agent.address, "limits": {"sockets": sockets}, "seed": "1f",
+            "settings": settings(**limits),
+            "known": orjson.loads(self.agent.told(True, [e.row for e in self.engines]))}
+        self.path = self.folder / "config.json"
+        self.path.write_bytes(orjson.dumps(self.config))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "heathford", "--log", "json", "platform",
+            cwd=Path(__file__).parent.parent, stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "NODE_NAME": "n0", "NODE_LISTEN": "127.0.0.1:0",
+                 "NODE_DISCOVERY": self.agent.address, "NODE_CONFIG": str(self.path)})
+        ready = await self.until("ready")
+        self.port = int(ready["listen"].rpartition(":")[2])
+        await self.agent.until_watched()
+
+    async def until(self, event: str) -> dict[str, Any]:
+        """Until it has logged that."""
+        assert self.process and self.process.stderr
+        while line := await self.process.stderr.readline():
+            self.said.append(orjson.loads(line))
+            if self.said[-1]["event"] == event:
+                return self.said[-1]
+        raise AssertionError(f"ended without {event}: {self.said}")
+
+    async def client(self) -> Client:
+        self.clients.append(Client(*await asyncio.open_connection("127.0.0.1", self.port)))
+        return self.clients[-1]
+
+    async def ask(self, name: str, **more: Any) -> tuple[int, bytes, bool]:
+        client = await self.client()
+        client.say(asked(name, **more))
+        return await client.answer()
+
+    async def stop(self) -> None:
+        for client in self.clients:
+            client.writer.close()
+        for engine in self.engines:
+            engine.close()
+        self.agent.close()
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+
+
+def reader(*script: str | bytes, uid: str = "r") -> ScriptedEngine:
+    return ScriptedEngine(uid, "m0", True, *script)
+
+
+def writer(*script: str | bytes, uid: str = "w") -> ScriptedEngine:
+    return ScriptedEngine(uid, "m1", False, *script)
+
+
+def play(folder: Path, engines: list[ScriptedEngine], day: Callable[[Node], Awaitable[None]],
+         **limits: Any) -> None:
+    async def run() -> None:
+        node = Node(folder, *engines)
+        try:
+            async with asyncio.timeout(LIMIT):
+                await node.start(**limits)
+                await day(node)
+                assert node.process and node.process.returncode in (None, 0)
+        finally:
+            await node.stop()
+    asyncio.run(run())
+
+
+def test_a_completion_is_read_then_written_and_passed_on_as_it_came(tmp_path: Path) -> None:
+    a, b = reader(), writer()
+
+    async def day(node: Node) -> None:
+        client = await node.client()
+        for n in range(3):  # on one connection
+            client.say(asked(f"c{n}"))
+            assert await client.answer() == (200, ALL, True)
+        assert a.asked == b.asked == [("POST", f"c{n}") for n in range(3)]
+        while a.connected == len(a.asked):  # until a kept connection was used: some ms after an answer
+            client.say(asked(f"d{len(a.asked)}"))
+            assert await client.answer() == (200, ALL, True)
+        assert a.bodies[0] == b.bodies[0] == asked("x").partition(b"\r\n\r\n")[2]
+        assert 0 < int(b.heads[0]["x-budget-ms"]) <= 4000
+        client.say(b"GET /health/ready HTTP/1.1\r\n\r\n")
+        assert (await client.answer())[0] == 200
+        client.say(asked("c3") + asked("c4"))  # pipelined: in order, one at a time
+        assert [await client.answer() for _ in range(2)] == [(200, ALL, True)] * 2
+    play(tmp_path, [a, b], day)
+
+
+CUT = (200, EVENTS[0], False)
+
+
+@pytest.mark.parametrize("workload, read, write, answer, sent", [
+    # What is known not to have run may be sent again, whatever its effect; what may have run only if that
+    # does no harm.
+    ("chat", ["full"], [], (200, ALL, True), 1), ("booking", ["error"], [], (200, ALL, True), 1),
+    ("booking", ["reset"], [], (200, ALL, True), 1),
+    ("booking", [], ["full"], (200, ALL, True), 2), ("chat", [], ["error"], (200, ALL, True), 2),
+    ("booking", [], ["error"], 502, 1), ("booking", [], ["reset"], 502, 1), ("booking", [], ["busy"], 502, 1),
+    ("chat", [], ["reset"], (200, ALL, True), 2),
+    ("booking", [], ["gone"], (200, ALL, True), 2),
+    # Spoilt before the first event: may have run. Later: it is the client's, and ends without its last chunk.
+    ("chat", [], [b"noise\r\n\r\n"], (200, ALL, True), 2), ("booking", [], [b"noise\r\n\r\n"], 502, 1),
+    ("chat", [], ["break"], CUT, 1),
+    ("chat", [], [GOOD[:GOOD.index(b"\r\n\r\n") + 4] + b"zz\r\n"], (200, ALL, True), 2),
+    # Good though odd.
+    ("booking", [], [b"HTTP/1.1 103 X\r\n\r\n" + GOOD], (200, ALL, True), 1),
+    ("booking", [], [GOOD + GOOD], (200, ALL, True), 1)])
+def test_each_way_an_engine_can_end_a_dispatch(
+    tmp_path: Path, workload: str, read: list[Any], write: list[Any], answer: Any, sent: int
+) -> None:
+    a, b = reader(*read), writer(*write)
+
+    async def day(node: Node) -> None:
+        found = await node.ask("c0", workload=workload)
+        assert found == answer if isinstance(answer, tuple) else found[0] == answer
+        assert b.asked.count(("POST", "c0")) == sent
+        # What came behind an answer is nobody's: the next gets its own.
+        assert await node.ask("c1", workload=workload) == (200, ALL, True)
+    play(tmp_path, [a, b], day)
+
+
+def test_a_stream_spoilt_after_its_first_event_ends_without_the_last_chunk(tmp_path: Path) -> None:
+    a, b = reader(), writer("spoil")
+
+    async def day(node: Node) -> None:
+        client = await node.client()
+        client.say(asked("c0"))
+        assert (await client.head())[0] == 200
+        assert (await client.reader.readuntil(b"\n\n\r\n")).endswith(EVENTS[0] + b"\r\n")
+        b.held.set()
+        assert await client.closed() == b"" and b.asked == [("POST", "c0")]
+    play(tmp_path, [a, b], day)
+
+
+def test_an_engine_that_can_not_be_reached_is_passed_over(tmp_path: Path) -> None:
+    a, b, dead = reader(), writer(), writer(uid="dead")
+
+    async def day(node: Node) -> None:
+        dead.close()
+        for n in range(6):
+            assert await node.ask(f"c{n}", workload="booking") == (200, ALL, True)
+        assert not dead.asked
+    play(tmp_path, [a, b, dead], day)
+
+
+def test_one_that_gets_no_answer_is_answered_before_its_time_is_up(tmp_path: Path) -> None:
+    a, b = reader(), writer("silent", "silent")
+
+    async def day(node: Node) -> None:
+        begun = asyncio.get_running_loop().time()
+        status, _, whole = await node.ask("c0", workload="booking", budget="700")
+        assert (status, whole) == (502, True) and asyncio.get_running_loop().time() - begun < 0.75
+        await a.until(1, "DELETE")  # the state that it read is let go
+        assert b.asked == [("POST", "c0")]
+    play(tmp_path, [a, b], day)
+
+
+def test_a_client_that_leaves_takes_its_dispatch_and_state_along(tmp_path: Path) -> None:
+    a, b = reader("hold"), writer()
+
+    async def day(node: Node) -> None:
+        client = await node.client()
+        client.say(asked("c0"))
+        await a.until(1)
+        client.writer.transport.abort()
+        await b.until(0)
+        held = asyncio.create_task(a.until(1, "DELETE"))
+        other = asyncio.create_task(b.until(1, "DELETE"))
+        await asyncio.wait([held, other], return_when=asyncio.FIRST_COMPLETED)
+        assert not [m for m, _ in b.asked if m == "POST"]
+    play(tmp_path, [a, b], day)
+
+
+def test_a_full_deployment_says_when_to_come_back(tmp_path: Path) -> None:
+    async def day(node: Node) -> None:
+        client = await node.client()
+        client.say(asked("c0", budget="300"))
+        status, headers = await client.head()
+        assert status == 503 and 0.0 < float(headers["retry-after"]) <= 1.0
+    play(tmp_path, [reader()], day)  # no writer at all
+
+
+@pytest.mark.parametrize("said, status", [
+    (asked(""), 400), (asked("a/../b"), 400), (asked("c0", workload="odd"), 400),
+    (asked("c0", budget="soon"), 400), (asked("c0", budget="-5"), 400), (asked("c0", budget="0"), 400),
+    (asked("c0", budget="9" * 30), 400), (asked("c0", prompt="-1"), 400), (asked("c0", prompt="1e3"), 400),
+    (asked("c0", prompt="9" * 12), 400), (asked("c0", body=b"{"), 400), (asked("c0", body=b"{}"), 400),
+    (asked("c0", more="X-Call-Id: c1\r\n"), 400), (asked("c0", target="/v1/other"), 404),
+    (asked("c0", more="Transfer-Encoding: chunked\r\n"), 400),
+    (b"GET /v1/chat/completions HTTP/1.1\r\n\r\n", 405),
+    (b"POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 62914560\r\n\r\n", 413),
+    (b"\x00" * 100, 400), (b"GET /" + b"a" * 40_000, 431)])
+def test_what_makes_no_sense_is_refused_and_never_sent_on(tmp_path: Path, said: bytes, status: int) -> None:
+    a, b = reader(), writer()
+
+    async def day(node: Node) -> None:
+        client = await node.client()
+        client.say(said)
+        assert (await client.answer())[0] == status
+        assert not a.asked and not b.asked
+        assert await node.ask("after") == (200, ALL, True)
+    play(tmp_path, [a, b], day)
+
+
+def test_the_id_of_an_open_completion_is_refused_until_it_is_over(tmp_path: Path) -> None:
+    a, b = reader("hold"), writer()
+
+    async def day(node: Node) -> None:
+        first = await node.client()
+        first.say(asked("c0"))
+        await a.until(1)
+        assert (await node.ask("c0"))[0] == 409
+        a.held.set()
+        assert await first.answer() == (200, ALL, True)
+        assert await node.ask("c0") == (200, ALL, True)
+    play(tmp_path, [a, b], day)
+
+
+def test_silent_connections_make_way_and_are_closed_in_time(tmp_path: Path) -> None:
+    async def day(node: Node) -> None:
+        begun = asyncio.get_running_loop().time()
+        silent = [await node.client() for _ in range(100)]  # half of 64 descriptors are clients'
+        assert await node.ask("c0") == (200, ALL, True)
+        said = [await client.closed() for client in silent]
+        assert asyncio.get_running_loop().time() - begun < 3.0
+        assert {line.split(b"\r\n")[0] for line in said} <= {b"", b"HTTP/1.1 408 Request Timeout"}
+    play(tmp_path, [reader(), writer()], day, sockets=64)
+
+
+def test_the_end_serves_on_and_answers_all_that_was_taken(tmp_path: Path) -> None:
+    a, b = reader(), writer("hold")
+
+    async def day(node: Node) -> None:
+        idle, busy, late = [await node.client() for _ in range(3)]
+        idle.say(asked("c0"))
+        await b.until(1)
+        b.held.set()
+        assert await idle.answer() == (200, ALL, True)
+        b.held.clear()
+        b.script.append("hold")
+        busy.say(asked("c1"))
+        await b.until(2)
+        assert node.process
+        node.process.send_signal(signal.SIGTERM)
+        await node.until("ending")
+        late.say(b"GET /health/ready HTTP/1.1\r\n\r\n")
+        status, headers = await late.head()
+        assert status == 503 and headers["connection"] == "close"
+        assert await node.ask("c2") == (200, ALL, True)
+        assert await idle.closed() == b""
+        b.held.set()
+        assert await busy.answer() == (200, ALL, True)
+        await node.until("ended")
+        assert await node.process.wait() == 0
+    play(tmp_path, [a, b], day)
+
+
+def test_a_new_configuration_moves_the_watch_and_a_broken_one_does_not(tmp_path: Path) -> None:
+    a, b, other = reader(), writer(), writer(uid="w2")
+
+    async def day(node: Node) -> None:
+        assert node.process
+        node.path.write_text("{")
+        node.process.send_signal(signal.SIGHUP)
+        await node.until("configuration not taken")
+        assert await node.ask("c0") == (200, ALL, True)
+        await other.open()
+        moved = Agent(a, other)
+        moved.version = 7
+        await moved.open()
+        node.path.write_bytes(orjson.dumps({**node.config, "discovery": moved.address}))
+        node.process.send_signal(signal.SIGHUP)
+        await moved.until_watched()
+        assert await node.ask("c1") == (200, ALL, True)
+        assert ("POST", "c1") in other.asked and ("POST", "c1") not in b.asked
+        moved.close()
+        other.close()
+    play(tmp_path, [a, b], day)
+
+
+def test_a_drain_is_kept_and_discovery_that_is_down_changes_nothing(tmp_path: Path) -> None:
+    a, b, other = reader(), writer(), writer(uid="w2")
+
+    async def day(node: Node) -> None:
+        b.state = "DRAINING"
+        node.agent.say(b.row)
+        # Until it is heard, either may be chosen; a change is heard in order, so ask until the other is.
+        for n in range(100):
+            assert await node.ask(f"c{n}") == (200, ALL, True)
+            if len(other.asked) >= 5 and other.asked[-3:] == [("POST", f"c{k}") for k in range(n - 2, n + 1)]:
+                break
+        count = len(b.asked)
+        node.agent.close()
+        for n in range(5):
+            assert await node.ask(f"d{n}") == (200, ALL, True)
+        assert len(b.asked) == count
+    play(tmp_path, [a, b, other], day)
+
+
+@pytest.mark.parametrize("variables, why", [
+    ({}, "not told by the platform: NODE_NAME"), ({"NODE_LISTEN": "here"}, "NODE_LISTEN is no HOST:PORT"),
+    ({"NODE_CONFIG": "nowhere.json"}, "the configuration can't be read"),
+    ({"text": "[]"}, "no JSON object"), ({"text": '{"limits":{},"settings":{},"discovery":"h:1"}'},
+                                         "the settings can't be used")])
+def test_a_start_that_can_not_be_is_told(tmp_path: Path, variables: dict[str, str], why: str) -> None:
+    async def run() -> None:
+        path = tmp_path / "config.json"
+        path.write_text(variables.pop("text", "{}"))
+        given = variables and {"NODE_NAME": "n", "NODE_LISTEN": "127.0.0.1:0", "NODE_DISCOVERY": "h:1",
+                               "NODE_CONFIG": str(path), **variables}
+        if why.startswith("no JSON") or "settings" in why:
+            given = {"NODE_NAME": "n", "NODE_LISTEN": "127.0.0.1:0", "NODE_DISCOVERY": "h:1",
+                     "NODE_CONFIG": str(path)}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "heathford", "platform", cwd=Path(__file__).parent.parent,
+            stderr=asyncio.subprocess.PIPE, env={**os.environ, **given})
+        _, error = await process.communicate()
+        assert process.returncode == 2 and why in error.decode()
+    asyncio.run(run())
--- /dev/null
+++ b/tests/test_platform_answers.py
@@ -0,0 +1,73 @@
+"""What an engine's bytes mean in the platform's protocol, cut at every byte."""
+
+import pytest
+
+from heathford.interface import Verdict
+from heathford.platform.answers import Answer
+from heathford.standin.platform import EVENTS, GOOD, READ, STREAM, WORDS, chunk, whole
+from heathford.wire.http1 import NonsenseError
+
+ALL = b"".join(EVENTS)
+
+
+def outcome(said: bytes, reading: bool, step: int) -> tuple[bytes, object]:
+    """What was passed on, and the verdict; None while it is not whole, "nonsense" once it is spoilt."""
+    answer, passed = Answer(reading), b""
+    for at in range(0, len(said), step):
+        try:
+            passed += answer.feed(said[at:at + step])
+            if answer.response.done:
+                return passed, answer.verdict()
+        except NonsenseError:
+            return passed, "nonsense"
+    return passed, None
+
+
+@pytest.mark.parametrize("said, reading, passed, verdict", [
+    (GOOD, False, ALL, (Verdict.FINISHED, 4)), (READ, True, b"", (Verdict.READ, 4)),
+    (whole(202, b'{"cached_tokens":-3}'), True, b"", (Verdict.READ, 0)),
+    (whole(202, b"{"), True, b"", "nonsense"),
+    (WORDS["error"], False, b"", (Verdict.ERROR, 0)), (WORDS["full"], True, b"", (Verdict.FULL, 0)),
+    (WORDS["expired"], False, b"", (Verdict.FULL, 0)), (WORDS["busy"], False, b"", (Verdict.ERROR, 0)),
+    (WORDS["gone"], False, b"", (Verdict.FULL, 1)), (whole(410), False, b"", (Verdict.ERROR, 0)),
+    (whole(200, b"{}"), True, b"", (Verdict.ERROR, 0)), (whole(202, b"{}"), False, b"", (Verdict.ERROR, 0)),
+    (whole(404), False, b"", (Verdict.ERROR, 0)),
+    (b"HTTP/1.1 100 X\r\n\r\nHTTP/1.1 103 X\r\nA: 1\r\n\r\n" + GOOD, False, ALL, (Verdict.FINISHED, 4)),
+    (GOOD.replace(b"\r\n\r\n", b"\r\nX-Load-Report: \xff;=\r\n\r\n", 1), False, ALL, (Verdict.FINISHED, 4)),
+    (WORDS["begin"], False, EVENTS[0], None),
+    (STREAM + chunk(ALL[:100]) + chunk(ALL[100:]) + b"0\r\n\r\n", False, ALL, (Verdict.FINISHED, 4)),
+    # Spoilt before the first event, after which another dispatch may go out, and later.
+    (b"\x00\x01\x02noise", False, b"", "nonsense"), (b"HTTP/1.1 2x0 OK\r\n\r\n", False, b"", "nonsense"),
+    (b"HTTP/1.1 200 OK\r\nA: " + b"a" * 20_000, False, b"", "nonsense"),
+    (STREAM + b"zz\r\n", False, b"", "nonsense"), (STREAM + chunk(b"noise\n\n"), False, b"", "nonsense"),
+    (STREAM + chunk(b"data: {]\n\n"), False, b"", "nonsense"),
+    (STREAM + chunk(b"a" * 20_000), False, b"", "nonsense"),
+    (STREAM + b"0\r\n\r\n", False, b"", "nonsense"),
+    (STREAM + chunk(EVENTS[0]) + b"zz\r\n", False, EVENTS[0], "nonsense"),
+    (STREAM + chunk(EVENTS[0]) + b"-5\r\n", False, EVENTS[0], "nonsense"),
+    (STREAM + chunk(EVENTS[0]) + b"C0000000\r\ndata", False, EVENTS[0], "nonsense"),
+    (STREAM + chunk(EVENTS[0]) + b"1\r\nabc\r\n", False, EVENTS[0], "nonsense"),
+    (STREAM + chunk(EVENTS[0]) + b"0\r\n\r\n", False, EVENTS[0], "nonsense"),
+    (STREAM + chunk(ALL) + chunk(EVENTS[0]), False, ALL, "nonsense")])
+def test_one_meaning_for_every_answer(said: bytes, reading: bool, passed: bytes, verdict: object) -> None:
+    assert outcome(said, reading, 1) == (passed, verdict)
+    at_once, same = outcome(said, reading, len(said))
+    assert same == verdict and (at_once == passed or verdict == "nonsense")
+
+
+def test_a_second_answer_behind_the_first_ends_the_connections_use() -> None:
+    answer = Answer(reading=False)
+    assert answer.feed(GOOD + GOOD) == ALL
+    assert answer.verdict() == (Verdict.FINISHED, 4) and not answer.keep
+    clean = Answer(reading=False)
+    clean.feed(GOOD)
+    assert clean.keep
+
+
+def test_no_chunk_makes_memory_grow() -> None:
+    answer = Answer(reading=False)
+    answer.feed(STREAM + chunk(EVENTS[0]) + b"3FFFF\r\n")
+    with pytest.raises(NonsenseError):
+        for _ in range(100):
+            answer.feed(b"a" * 1000)
+    assert len(answer.events.rest) < 40_000
