A state is let go once unreachable writers have taken the whole pin limit

A trail of each dispatch's start, first byte and end showed a read's end followed by two connects of 250 ms in vain and no byte to any engine for 0.503 s, then a third writer; one more in vain would be 0.75. Ruled out: releases that failed (none unconfirmed), reads that ended unseen (each followed by a confirmed DELETE). At fault: Completion.ended set held_since anew for a dispatch that reached nothing, while the rule's time runs on.

Two more guards on the way: a release owed from an earlier read no longer takes the state of a later one that waits for a writer (Taken.settle); requests pipelined behind the one in hand are answered before a node ends. The Router drops what a removed engine kept.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -269,7 +269,13 @@
         self.over = self.over or closed
         if self.out is dispatch:
             self.out = None
-        self.held_since, self.stuck = now, False  # looked at at once: a final answer may be due
+        self.stuck = False  # looked at at once: a final answer may be due
+        if verdict is not Verdict.UNREACHABLE or not self.state:
+            self.held_since = now
+        elif now - self.held_since >= self.router.pin_limit:
+            # Guards against a state pinned while one writer after the other can't be reached: nothing came to
+            # an engine since the read. Costs a second read where the third would have been reached.
+            self.let_go()
         read = verdict is Verdict.READ or (verdict is Verdict.FINISHED and dispatch.local)
         if read and not detail and dispatch.new < self.prompt:
             engine.keeps.clear()  # it lost what it kept, all at once as a rule
@@ -382,6 +388,7 @@
                 engine.health = Health.GONE
             if engine.health is Health.GONE and not engine.out:
                 del self.engines[number]
+                engine.keeps.clear()  # sessions that were there last remember the engine itself for longer
         listed = [e for e in self.engines.values() if e.health is Health.ON]
         self.pools = {role: [e for e in listed if e.kind.role is role] for role in Role}
         self.writers = self.pools[Role.WRITER] + self.pools[Role.MIXED]
--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -149,8 +149,9 @@
             self.core.guarded(lambda: self.sink.finished(reason, usage))
 
     def let_go(self, dispatch: Dispatch) -> None:
-        """Guards against a release that takes a later dispatch's state: where all have one name it waits
-        until none is out, as seen at the end of a turn. Till then nothing is pinned with none out."""
+        """Guards against a release that takes a later dispatch's state: where all have one name it waits, at
+        the end of a turn, until none is out and no state waits for a writer. Till then nothing is pinned for
+        longer than the Router lets a state wait."""
         if self.one_name:
             self.owed = dispatch
             self.core.check_gone(self)
@@ -158,7 +159,7 @@
             self.core.link.release(dispatch.endpoint, dispatch.name)
 
     def settle(self) -> None:
-        if self.owed and self.out is None:
+        if self.owed and self.out is None and self.state_at is None:
             owed, self.owed = self.owed, None
             self.core.link.release(owed.endpoint, owed.name)
 
--- a/heathford/platform/door.py
+++ b/heathford/platform/door.py
@@ -210,7 +210,7 @@
         self.write(data)
         self.served += 1
         self.since = self.door.loop.time()
-        if keep and not self.door.stopping:
+        if keep and not (self.door.stopping and not self.asks_on):
             self.next()
         else:
             self.finish()
@@ -242,9 +242,14 @@
             chunk = STREAM % (CLOSING if self.ends_after else b"") + chunk
         self.write(chunk)
 
+    @property
+    def asks_on(self) -> bool:
+        """More has come behind the request in hand. It was taken by this machine and is owed an answer."""
+        return bool(self.ahead or self.request.rest)
+
     @property
     def ends_after(self) -> bool:
-        return self.door.stopping or not self.request.keep
+        return (self.door.stopping and not self.asks_on) or not self.request.keep
 
     def finished(self, reason: str, usage: Mapping[str, Any]) -> None:
         keep = not self.ends_after
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -136,6 +136,22 @@
     assert ("release",) in asked and (("rate_limit",) in asked) == (how == "out of time")
 
 
+@pytest.mark.parametrize("each, sends", [(0.01, 3), (0.25, 2)])
+def test_a_state_is_let_go_once_writers_out_of_reach_have_taken_the_pin_limit(
+    bench: New, each: float, sends: int
+) -> None:
+    """Seen on sockets: 0.5 s of connecting to two writers in vain, and the state of the read still held."""
+    b = bench()
+    b.engines((10, 0), *((n, 1) for n in range(12, 18)))
+    c = b.take()
+    b.end(c, Verdict.READ)
+    for _ in range(2):
+        b.end(c, Verdict.UNREACHABLE, after=each)
+    asked = b.asked()
+    assert sum(a[0] == "send" and a[1] != 10 for a in asked) == sends
+    assert (("release",) in asked) == (sends == 2)
+
+
 @pytest.mark.parametrize("effect", [IDEMPOTENT, TOKENED, NON_IDEMPOTENT])
 def test_one_final_answer_in_time_when_no_engine_is_usable(bench: New, effect: Effect) -> None:
     b = bench(effect=effect)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -227,6 +227,18 @@
     assert second.cancelled and i.link.released == ["c0"]
 
 
+def test_under_one_name_a_release_spares_a_state_that_waits_for_a_writer(instance: New) -> None:
+    i, _ = named(instance)
+    i.link.out[-1].events.ended(Verdict.BROKEN, 0, {}, {})
+    i.loop.turn()
+    i.engines((12, 1), (13, 1), health=Health.DRAINING)
+    i.link.out[-1].events.ended(Verdict.READ, 0, {}, {"kv": {}})
+    i.loop.turn()
+    assert i.link.released == []
+    i.loop.pass_time(0.3)
+    assert i.link.released == ["c0"]
+
+
 def test_what_can_not_be_sent_again_is_let_go(instance: New) -> None:
     i, taken = named(instance)
     i.link.out[-1].events.ended(Verdict.READ, 0, {}, {"kv": {}})
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -319,13 +319,14 @@
         assert node.process
         node.process.send_signal(signal.SIGTERM)
         await node.until("ending")
+        busy.say(asked("c3"))  # behind the one in hand
         late.say(b"GET /health/ready HTTP/1.1\r\n\r\n")
         status, headers = await late.head()
         assert status == 503 and headers["connection"] == "close"
         assert await node.ask("c2") == (200, ALL, True)
         assert await idle.closed() == b""
         b.held.set()
-        assert await busy.answer() == (200, ALL, True)
+        assert [await busy.answer() for _ in range(2)] == [(200, ALL, True)] * 2
         await node.until("ended")
         assert await node.process.wait() == 0
     play(tmp_path, [a, b], day)
