A state is let go after one writer out of reach, which leaves time for its release

The limit after which no other writer is tried falls from the pin limit to 0.4 of it (choice.py, Completion.ended).

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -272,9 +272,9 @@
         self.stuck = False  # looked at at once: a final answer may be due
         if verdict is not Verdict.UNREACHABLE or not self.state:
             self.held_since = now
-        elif now - self.held_since >= self.router.pin_limit:
+        elif now - self.held_since >= HOLD * self.router.pin_limit:
             # Guards against a state pinned while one writer after the other can't be reached: nothing came to
-            # an engine since the read. Costs a second read where the third would have been reached.
+            # an engine since the read. Costs a second read where the next would have been reached.
             self.let_go()
         read = verdict is Verdict.READ or (verdict is Verdict.FINISHED and dispatch.local)
         if read and not detail and dispatch.new < self.prompt:
