--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -1,14 +1,13 @@
 """What the core owns: one final answer, the life of a stream, and what a failed decision leaves behind."""
 
 import gc
-from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
 import pytest
 from conftest import Client, Instance
 
-from heathford.choice import Completion, Engine
+from heathford.choice import Completion
 from heathford.core.core import Dispatch, Taken
 from heathford.interface import Effect, Health, Verdict
 
@@ -278,7 +277,9 @@
         i.link.out.clear()
     assert i.core.tally.finished == 1500 and not i.core.live
     gc.collect()
-    left = Counter(type(o).__name__ for o in gc.get_objects() if type(o) in (Completion, Taken, Dispatch))
-    assert sum(left.values()) <= 10, left
-    kept = [e for e in gc.get_objects() if isinstance(e, Engine) and e.keeps]
-    assert len(kept) <= 6 and len(i.core.endpoints) <= 6 and len(i.core.router.engines) <= 6
+    core = i.core
+    left = [o for o in gc.get_objects() if (isinstance(o, Completion) and o.router is core.router)
+            or (isinstance(o, Taken) and o.core is core) or (isinstance(o, Dispatch) and o.taken.core is core)]
+    assert len(left) <= 10
+    assert len(core.endpoints) <= 6 and len(core.router.engines) <= 6
+    assert not any(e.keeps for e in core.router.last_mixed.values() if e.number not in core.router.engines)
