The front node's twins made one, and state that could be derived taken out

Read once more: closing idle connections stood in both links (Pools.close_idle now); both exchanges set the same time limit when they begin to write (Exchange.begin now, by until and timed_out); a pool was looked up twice for one connection; readiness, the time of SIGTERM and a second reading of the kinds could be derived; counts by name are Counters.

--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -128,9 +128,7 @@
 
     def stop(self) -> None:
         self.stopped = True
-        for pool in list(self.pools.pools.values()):
-            for stream, _ in list(pool.idle):
-                stream.close()
+        self.pools.close_idle()
 
 
 class HttpCall:
--- a/heathford/engines/pools.py
+++ b/heathford/engines/pools.py
@@ -77,6 +77,11 @@
         if not pool.open and self.pools.get(pool.address) is pool:
             del self.pools[pool.address]
 
+    def close_idle(self) -> None:
+        for pool in list(self.pools.values()):
+            for connection, _ in list(pool.idle):
+                connection.close()
+
     def sweep(self, now: float) -> None:
         """Closes what idles too long. Guards against connections to engines that vanished: they stay open
         for good, and each takes a descriptor."""
--- a/heathford/platform/door.py
+++ b/heathford/platform/door.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+from collections import Counter
 from collections.abc import Mapping
 from typing import Any
 
@@ -50,9 +51,8 @@
         self.loop = asyncio.get_running_loop()
         self.clients: dict[ClientConnection, None] = {}
         self.open: dict[str, Taken] = {}  # completions that clients wait for, by the clients' names
-        self.ready = False
         self.stopping = False
-        self.refused: dict[int, int] = {}  # by status: what was never taken
+        self.refused: Counter[int] = Counter()  # by status: what was never taken
         self.turned_out = 0  # connections closed to make room
 
     def connection(self) -> "ClientConnection":
@@ -92,7 +92,7 @@
                     client.drop()
             elif client.request.begun or not client.served:
                 if now - client.since >= (WRITES if client.request.begun else FIRST):
-                    self.refused[408] = self.refused.get(408, 0) + 1
+                    self.refused[408] += 1
                     client.answer(whole(408, "no whole request in time", True), False)
             elif now - client.since >= IDLE:
                 client.finish()
@@ -133,8 +133,8 @@
             if len(self.ahead) > AHEAD and self.transport:
                 self.transport.pause_reading()
             return
-        if not self.request.begun:
-            self.since = max(self.since, self.door.loop.time()) if self.served else self.since
+        if self.served and not self.request.begun:
+            self.since = self.door.loop.time()
         self.read(data)
 
     def connection_lost(self, problem: Exception | None) -> None:
@@ -160,9 +160,8 @@
                     self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
                 return
             if request.target.partition("?")[0] == "/health/ready" and request.method == "GET":
-                ready = door.ready and not door.stopping
-                self.answer(whole(200 if ready else 503, "ready" if ready else "not ready", door.stopping),
-                            request.keep)
+                status, text = (503, "not ready") if door.stopping else (200, "ready")
+                self.answer(whole(status, text, door.stopping), request.keep)
                 return
             self.begun = False
             self.taken = ask(door.core, self, request, door.workloads, door.open, door.loop.time())
@@ -170,7 +169,7 @@
             request.body = bytearray()  # the core has it
             door.open[self.name] = self.taken
         except RefusedError as problem:
-            door.refused[problem.status] = door.refused.get(problem.status, 0) + 1
+            door.refused[problem.status] += 1
             # What was whole but made no sense leaves the connection in order; anything else does not.
             keep = request.done and request.keep
             self.answer(whole(problem.status, str(problem), not keep), keep)
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import select
+from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Any
 
@@ -96,9 +97,10 @@
 class Exchange:
     """One request on its way: connect, send, answer; `over` once nothing more is wanted of it."""
 
-    def __init__(self, link: "PlatformLink", endpoint: Endpoint) -> None:
+    def __init__(self, link: "PlatformLink", endpoint: Endpoint, within: float) -> None:
         self.link, self.endpoint = link, endpoint
         self.loop = link.loop
+        self.until = self.loop.time() + within
         self.connection: EngineConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.over = False
@@ -106,15 +108,14 @@
     def connect(self, data: Callable[[], bytes], within: float) -> None:
         """An idle connection, or a new one within that many s."""
         pools = self.link.pools
-        address = self.endpoint.address, self.endpoint.port
-        pool = pools.pool(*address)
+        pool = pools.pool(self.endpoint.address, self.endpoint.port)
         kept = pools.idle_one(pool, self.loop.time())
         while kept and not kept.quiet():
             kept.close()
             kept = pools.idle_one(pool, self.loop.time())
         if kept:
             self.begin(kept, data())
-        elif pools.opening(pool := pools.pool(*address)):
+        elif pools.opening(pool):
             self.expect(within, self.unreached)
             self.link.tasks.spawn(self.open(pool, data))
         else:
@@ -145,7 +146,7 @@
 
     def begin(self, connection: EngineConnection, data: bytes) -> None:
         self.connection, connection.user = connection, self
-        self.sending()
+        self.expect(max(0.0, self.until - self.loop.time()), self.timed_out)
         connection.write(data)
 
     def expect(self, seconds: float, then: Callable[[], None]) -> None:
@@ -167,8 +168,9 @@
             else:
                 connection.close()
 
-    def sending(self) -> None:
-        """About to be written."""
+    def timed_out(self) -> None:
+        """Sent, and not answered by `until`."""
+        raise NotImplementedError
 
     def heard(self, data: bytes) -> None:
         raise NotImplementedError
@@ -190,9 +192,8 @@
         self, link: "PlatformLink", endpoint: Endpoint, name: str, body: tuple[str, bytes], timeout: float,
         events: CallEvents,
     ) -> None:
-        super().__init__(link, endpoint)
+        super().__init__(link, endpoint, timeout)
         self.name, self.body, self.events = name, body, events
-        self.until = self.loop.time() + timeout
         self.answer = Answer(endpoint.role is Role.READER)
         self.heard_at = 0.0  # when the last event came
         self.begun = False
@@ -219,12 +220,9 @@
         if self.over:
             return
         self.stop(keep)
-        self.link.ends[verdict] = self.link.ends.get(verdict, 0) + 1
+        self.link.ends[verdict] += 1
         self.events.ended(verdict, detail, {}, {"kv": {}})
 
-    def sending(self) -> None:
-        self.expect(max(0.0, self.until - self.loop.time()), self.timed_out)
-
     def timed_out(self) -> None:
         self.end(Verdict.TIMED_OUT)
 
@@ -271,10 +269,9 @@
     """One try to let go of all that is held for a completion."""
 
     def __init__(self, link: "PlatformLink", endpoint: Endpoint, name: str, patience: float) -> None:
-        super().__init__(link, endpoint)
+        super().__init__(link, endpoint, patience)
         self.response = Response(LONGEST_LINE, LONGEST_LINE, strict=False)
         self.status: asyncio.Future[int] = self.loop.create_future()
-        self.until = self.loop.time() + patience
         self.connect(lambda: request("DELETE", ROOMS + name, endpoint.address, {}, b""), patience)
 
     def end(self, status: int, keep: bool = False) -> None:
@@ -282,8 +279,8 @@
             self.stop(keep)
             self.status.set_result(status)
 
-    def sending(self) -> None:
-        self.expect(max(0.0, self.until - self.loop.time()), self.unreached)
+    def timed_out(self) -> None:
+        self.end(0)
 
     def heard(self, data: bytes) -> None:
         try:
@@ -315,7 +312,7 @@
         self.pools: Pools[EngineConnection] = Pools(IDLE_PART * idle, connections, SETTLED)
         self.tasks = Tasks("link")
         self.letting_go: dict[str, list[EngineCall]] = {}  # by completion: dispatches that wait for it
-        self.ends: dict[Verdict, int] = {}
+        self.ends: Counter[Verdict] = Counter()
         self.spoilt = self.unreleased = 0
         self.stopped = False
 
@@ -371,6 +368,4 @@
 
     def stop(self) -> None:
         self.stopped = True
-        for pool in list(self.pools.pools.values()):
-            for connection, _ in list(pool.idle):
-                connection.close()
+        self.pools.close_idle()
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -12,7 +12,7 @@
 
 import structlog
 
-from heathford.bootinfo import NS, figures_of, kinds_of
+from heathford.bootinfo import NS, figures_of
 from heathford.core.core import Core
 from heathford.fleet.instances import Instances
 from heathford.fleet.watch import Watch
@@ -57,10 +57,9 @@
             int(CLIENT_PART * sockets))
         self.instances = Instances(
             {kind: (place, known.role) for place, (kind, known) in
-             enumerate(zip(settings["kinds"], kinds_of(settings), strict=True))}, settings["azs"])
+             enumerate(zip(settings["kinds"], figures["kinds"], strict=True))}, settings["azs"])
         self.watch = Watch(*discovery, self.instances, self.core.list_changed)
         self.ending = asyncio.Event()
-        self.term_at = 0.0
         self.known = told.get("known")
         self.server: asyncio.Server | None = None
         self.sweeps = 0
@@ -81,7 +80,6 @@
         self.server = await self.loop.create_server(self.door.connection, sock=sock, backlog=ACCEPTED)
         sock.listen(BACKLOG)
         self.listen = sock.getsockname()[:2]
-        self.door.ready = True
         self.sweep()
         self.tell()
 
@@ -102,7 +100,7 @@
             "state", taken=tally.taken, finished=tally.finished, limited=tally.rate_limited,
             aborted=tally.aborted, left=tally.left, late=tally.late, faults=tally.faults,
             live=len(self.core.live), clients=len(self.door.clients), out=self.door.turned_out,
-            refused=self.door.refused, ends={v.value: n for v, n in self.link.ends.items()},
+            refused=dict(self.door.refused), ends={v.value: n for v, n in self.link.ends.items()},
             spoilt=self.link.spoilt, unreleased=self.link.unreleased, engines=len(router.engines),
             conns=self.link.pools.open, version=self.instances.version, lag=round(self.lag, 3),
             mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
@@ -125,7 +123,6 @@
 
     def terminate(self) -> None:
         if not self.door.stopping:
-            self.term_at = self.loop.time()
             self.door.stopping = True
             log.info("ending", open=self.core.open, clients=len(self.door.clients))
             self.ending.set()
