A dispatch given up is shut down at its engine before anything is answered

Cause: EngineConnection.close() called transport.abort(), which closes the socket in the loop's next turn. The socket is shut down in close() now, so the end leaves before any answer. Found by reading beside it: an answer before the request has wholly left let its connection be kept, the rest to leave behind the verdict; it is closed.

--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -6,8 +6,10 @@
 
 import asyncio
 import select
+import socket
 from collections import Counter
 from collections.abc import Callable, Mapping
+from contextlib import suppress
 from typing import Any
 
 import structlog
@@ -87,10 +89,13 @@
         return not poll.poll(0)
 
     def close(self) -> None:
-        """At once, with what is unwritten."""
+        """At once, with what is unwritten. Shut down first: a transport closes its socket in the loop's next
+        turn, and an answer to the client that left before that would cross a dispatch that is still out."""
         self.user = None
         self.uncount()
         if self.transport:
+            with suppress(OSError):  # it has broken, or is closed
+                self.transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
             self.transport.abort()
 
 
@@ -155,7 +160,8 @@
         self.timer = self.loop.call_later(seconds, then)
 
     def stop(self, keep: bool) -> None:
-        """Nothing more is wanted. A connection with anything still to come is closed, not used again."""
+        """Nothing more is wanted. A connection with anything still to come or go is closed, not used again:
+        the rest of a request that was answered early would leave behind its verdict, and might run."""
         self.over = True
         if self.timer:
             self.timer.cancel()
@@ -163,7 +169,7 @@
         connection, self.connection = self.connection, None
         if connection:
             connection.user = None
-            if keep:
+            if keep and not connection.unwritten:
                 self.link.give_back(connection)
             else:
                 connection.close()
