A front gives a cold engine part of what one warm engine answers to it

Cause: has_turn took the budget from this front's own answers of the last second times the number of fronts: at one completion a second that is none or one, int() made it 0 and max(1, ...) one front of 200 for a quarter second, in which it rarely had a completion, and whose hash then led elsewhere; cold engines counted among those that answer. Now each front has its own part, dealt out by its number.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -57,6 +57,7 @@
 FAILURES = {Verdict.ERROR: 1.0, Verdict.TIMED_OUT: 1.0, Verdict.BROKEN: 1.0, Verdict.UNREACHABLE: ERRORS}
 TRICKLE_DONE = 16  # dispatches at once from which a trickle is over
 TURNS = 4  # in the rule's window, so that any span of its length holds no more than five turns' sends
+GOLDEN = 0.618034  # of a whole: its multiples spread evenly, whatever their number
 COLD_PART = 0.8  # of the rule's own budget at the coldest, against warm engines' mean: the rest is chance
 
 POINTS = 32  # of an engine on the ring that prompts are hashed to: shares of readers differ by a sixth or so
@@ -136,6 +137,7 @@
         self.failures = 0.0  # in a row
         self.streamed = self.hinted = self.streamed_at = 0.0  # s that streams took lately, and should have
         self.trickle = 0  # dispatches at once, while it comes back
+        self.cold_sends: list[float] = []  # when, while it was cold
 
     @property
     def unanswered(self) -> "list[Dispatch]":
@@ -494,9 +496,15 @@
     def hashed_pair(self, completion: Completion, role: Role, is_open: Test) -> Engine | None:
         """Two drawn by hashing the shared beginning, else the session, in the own zone; with both closed, two
         of all. Drawn from open ones only, a session would move under load and be read anew each time. If
-        neither holds more of our tokens, the session's hash chooses, at all fronts alike."""
+        neither holds more of our tokens, the session's hash chooses, at all fronts alike. A cold engine in
+        its turn comes first: with one completion in a turn, the hash would lead elsewhere. Could harm by a
+        read without the kept beginning."""
         seeds = (1, 2) if blake2b(completion.session.encode()).digest()[0] % 2 else (2, 1)
-        for ring in self.rings[role]:
+        for near, ring in zip((True, False), self.rings[role], strict=True):
+            turned = next((e for e in self.pools[role] if self.cold(e) and (not near or e.zone == self.zone)
+                           and self.usable(e) and is_open(e) and self.has_room(e, completion)), None)
+            if turned:
+                return turned
             drawn = [ring.draw(f"{seed}:{completion.key}", self.usable) for seed in seeds]
             able = [e for e in drawn if e and is_open(e)]
             if able:
@@ -515,7 +523,8 @@
     def write(self, completion: Completion, reader: Engine, now: float) -> bool:  # two near the reader
         able = [e for e in self.writers if self.usable(e) and completion.may_go_to(e, now)]
         near = [e for e in able if e.zone == reader.zone]
-        pools = [e for e in near if e.cell == reader.cell], near, able
+        turned = [e for e in near if self.cold(e)]
+        pools = turned, [e for e in near if e.cell == reader.cell], near, able
         waited = now - completion.held_since >= HOLD * self.pin_limit
         fit = next(filter(None, ([e for e in pool if self.has_room(e, completion)] for pool in pools)), [])
         if waited and not fit:  # a state may not be held on
@@ -535,17 +544,30 @@
         return free and (not self.cold(engine) or self.has_turn(engine))
 
     def has_turn(self, engine: Engine) -> bool:
-        """Guards against all fronts finding an empty, slow engine at once: they share a budget, part of what
-        engines of its role answer to all in the rule's window; sends exceed that in a jam. As many fronts as
-        a turn has sends have it together, by number. Could harm by using too little of the engine."""
-        now, pool = self.clock.now, self.pools[engine.kind.role]
-        while self.answers and self.answers[0][0] < now - self.cold_window:
-            self.answers.popleft()
-        peers = [e for _, e in self.answers if e.kind.role is engine.kind.role]
-        budget = self.cold_share * self.fronts * len(peers) / (TURNS * max(1, len(pool)))
-        together, ours = max(1, min(self.fronts, int(budget))), len(engine.unanswered) + peers.count(engine)
-        turn = int(TURNS * (now - engine.started) / self.cold_window)
-        return (self.number - turn * together) % self.fronts < together and ours < max(1, budget // together)
+        """Guards against all fronts finding an empty, slow engine at once: of what a warm engine of its role
+        answers to this front, a part may go to a cold one, so that all fronts' parts add up to the budget.
+        Where that is less than one send a turn, turns with one are dealt out evenly over the fronts, by their
+        numbers, and last as long as the rule's window. Could harm by using too little of it."""
+        now, role = self.clock.now, engine.kind.role
+        warm = [e for e in self.pools[role] if not self.cold(e)] or self.pools[role]
+        share = self.cold_share * self.answer_rate(warm) / max(1, len(warm))  # sends a second
+        length = self.cold_window / TURNS
+        if share * length < 1.0:
+            length = self.cold_window
+        turn, passed = divmod((now - engine.started) / length + self.number * GOLDEN % 1.0, 1.0)
+        even = ((self.number + engine.number) % self.fronts / self.fronts + turn * GOLDEN) % 1.0
+        ours = sum(sent >= now - passed * length for sent in engine.cold_sends)
+        return ours < int(share * length + even)
+
+    def answer_rate(self, engines: Sequence[Engine]) -> float:
+        """What these answered to this front, a second: in the rule's window, or over the time in which an
+        engine warms where that says too little. At least one, else none would ever be tried."""
+        now, some, of = self.clock.now, self.answers, dict.fromkeys(engines)
+        while some and some[0][0] < now - self.warm_after:
+            some.popleft()
+        ages = [now - at for at, e in some if e in of]
+        recent = sum(age <= self.cold_window for age in ages)
+        return recent / self.cold_window if recent >= START_ANSWERS else max(1, len(ages)) / self.warm_after
 
     def send(self, completion: Completion, engine: Engine, reading: bool) -> None:
         now = self.clock.now
@@ -556,6 +578,8 @@
         completion.dispatches.append(dispatch)
         completion.out = dispatch
         engine.out.append(dispatch)
+        if self.cold(engine):
+            engine.cold_sends.append(now)
         once = dispatch.local or (not reading and completion.workload.effect is Effect.NON_IDEMPOTENT)
         share = 1.0 if once or self.jammed else TRY_SHARE  # in a jam a second try is more work, and later
         patience = share * (completion.due - now)
