--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -392,6 +392,7 @@
                 del self.engines[number]
                 engine.keeps.clear()  # sessions that were there last remember the engine itself for longer
         listed = [e for e in self.engines.values() if e.health is Health.ON]
+        self.cold_parts: dict[Role, tuple[float, float]] = {}  # when worked out, and sends a second
         self.pools = {role: [e for e in listed if e.kind.role is role] for role in Role}
         self.writers = self.pools[Role.WRITER] + self.pools[Role.MIXED]
         self.rings = {role: (Ring([e for e in pool if e.zone == self.zone]), Ring(pool))
@@ -548,9 +549,7 @@
         answers to this front, a part may go to a cold one, so that all fronts' parts add up to the budget.
         Where that is less than one send a turn, turns with one are dealt out evenly over the fronts, by their
         numbers, and last as long as the rule's window. Could harm by using too little of it."""
-        now, role = self.clock.now, engine.kind.role
-        warm = [e for e in self.pools[role] if not self.cold(e)] or self.pools[role]
-        share = self.cold_share * self.answer_rate(warm) / max(1, len(warm))  # sends a second
+        now, share = self.clock.now, self.cold_part(engine.kind.role)
         length = self.cold_window / TURNS
         if share * length < 1.0:
             length = self.cold_window
@@ -559,6 +558,15 @@
         ours = sum(sent >= now - passed * length for sent in engine.cold_sends)
         return ours < int(share * length + even)
 
+    def cold_part(self, role: Role) -> float:
+        """Sends a second of this front to one cold engine of the role; worked out once for all that ask."""
+        at, part = self.cold_parts.get(role, (-1.0, 0.0))
+        if at != self.clock.now:
+            warm = [e for e in self.pools[role] if not self.cold(e)] or self.pools[role]
+            part = self.cold_share * self.answer_rate(warm) / max(1, len(warm))
+            self.cold_parts[role] = self.clock.now, part
+        return part
+
     def answer_rate(self, engines: Sequence[Engine]) -> float:
         """What these answered to this front, a second: in the rule's window, or over the time in which an
         engine warms where that says too little. At least one, else none would ever be tried."""
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,7 +6,7 @@
 import pytest
 from conftest import Bench
 
-from heathford.choice import Fit, mixed_features, read_features
+from heathford.choice import Engine, Fit, mixed_features, read_features
 from heathford.interface import Effect, Group, Health, Verdict
 
 New = Callable[..., Bench]
@@ -320,6 +320,26 @@
         assert 0.4 * budget <= held <= 1.25 * budget
 
 
+def test_a_decision_costs_no_more_than_the_list_is_long(
+    bench: New, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against each of a thousand cold engines working out the budget anew, in every draw."""
+    b = bench(number=1, fronts=1024)
+    b.engines((5000, 1))
+    b.engines(*[(i, 0) for i in range(1024)], started=b.now)
+    b.now += 0.1
+    looks = 0
+    cold = b.router.cold
+
+    def counted(engine: Engine) -> bool:
+        nonlocal looks
+        looks += 1
+        return cold(engine)
+    monkeypatch.setattr(b.router, "cold", counted)
+    b.take(5000)
+    assert 1024 <= looks <= 16 * 1024
+
+
 def test_a_cold_engine_in_turn_comes_before_the_drawn_pair(bench: New) -> None:
     """Guards against turns that pass unused: a front that sees little sends one completion in its turn, and
     that one's hash leads elsewhere. Could harm by a read without the kept beginning."""
