--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -295,8 +295,8 @@
 def test_fronts_share_the_budget_of_a_cold_engine(
     bench: New, fronts: int, per_second: float, budget: float, beside: int
 ) -> None:
-    """Each front hears as many answers a second from two warm readers and none from the cold ones; 0.25 s of
-    ten. Guards against cold engines that hardly any front uses, as where each counts its answers of the last
+    """Each front hears as many answers a second from two warm readers and none from the cold ones. Guards
+    against cold engines that hardly any front uses, as where each counts its answers of the last
     second alone, or counts cold engines among those that answer; and against more than the rule's budget: 0.6
     of what one warm reader answers, a second. Could harm where warm readers have nothing to do."""
     sends: list[float] = []
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -47,8 +47,8 @@
         self.held.append(held)
         return held
 
-    def endpoint(self, role: Role = Role.WRITER) -> Endpoint:
-        return Endpoint(1, "e", role, *self.listener.getsockname())
+    def endpoint(self) -> Endpoint:
+        return Endpoint(1, "e", Role.WRITER, *self.listener.getsockname())
 
     def close(self) -> None:
         for held in (self.listener, *self.held):
@@ -92,8 +92,7 @@
         heard = Heard(lambda: at_end(engine.held[0]))
         call = send(link, engine, heard, timeout=5.0 if how == "cancelled" else 0.2)
         held = await engine.accepted()
-        while not select.select([held], [], [], 0.0)[0]:
-            await asyncio.sleep(0.005)
+        await until(lambda: bool(select.select([held], [], [], 0.0)[0]))
         assert held.recv(65_536).endswith(b"{}")
         if how == "cancelled":
             call.cancel()
