A list entry that can't be read costs only itself, and never the watch or a drain

Seen by a probe (rows fed to the list's reader): an entry whose uid is a number raised AttributeError out of `told` (instances.py, `row`: `number_of(uid)` stood behind the except), which ends the watch's task, so that nothing was heard of discovery any more; and one bad entry in a complete list made the whole of it count as a change (`complete and not self.passed`), so that instances which had left stayed open: a drain not kept. Ports out of range, "nan" as capacity and a start before this front's own clock began (`max(..., 1e-6)`: taken for new) passed as good. Change: all of an entry is read inside the guard; what can't be read of a known instance leaves it as it was, but for a state that can be read; a complete list stays one unless an entry doesn't say whose it is. No zone, cell, weight or start told means one zone, one cell, weight 1, long ago.

--- a/heathford/fleet/instances.py
+++ b/heathford/fleet/instances.py
@@ -1,6 +1,7 @@
 """The platform's list of instances: whole lists and watch lines into rows for the core; no I/O."""
 
 from collections.abc import Mapping, Sequence
+from math import isfinite
 from typing import Any
 
 from heathford.core.doors import Endpoint
@@ -22,7 +23,7 @@
     def __init__(self, kinds: Mapping[str, tuple[int, Role]], zones: Sequence[str]) -> None:
         self.kinds, self.zones = kinds, {zone: place for place, zone in enumerate(zones)}
         self.version = -1
-        self.endpoints: dict[str, Endpoint] = {}
+        self.rows: dict[str, Row] = {}  # as last read, by uid
         self.started: dict[str, tuple[int, float]] = {}  # as told, and s on the front's clock
         self.passed: dict[str, str] = {}
         self.failures = 0
@@ -44,46 +45,67 @@
         self.failures = 0
         rows: list[Row] = []
         listed: dict[str, None] = {}
+        nameless = False
         self.passed = {}
         for entry in entries:
             try:
                 uid, row = self.row(entry, now, wall)
             except ListError as problem:
                 self.passed[str(entry)[:80]] = str(problem)
-                if isinstance(entry, dict) and isinstance(entry.get("uid"), str):
-                    listed[entry["uid"]] = None  # it is there, though not as we can read it: kept as it was
-                continue
+                nameless = nameless or not (isinstance(entry, dict) and isinstance(entry.get("uid"), str))
+                kept = self.kept(entry)
+                if kept is None:
+                    continue
+                uid, row = kept
             listed[uid] = None
             rows.append(row)
+            self.rows[uid] = row
             if row[4] is Health.GONE:
                 self.forget(uid)
+        # Of a list with an entry that does not say whose it is, nobody can say who is missing.
+        complete = complete and not nameless
         if complete:
-            for uid in [uid for uid in self.endpoints if uid not in listed]:
+            for uid in [uid for uid in self.rows if uid not in listed]:
                 self.forget(uid)
         self.version = version
-        return complete and not self.passed, rows
+        return complete, rows
+
+    def kept(self, entry: Any) -> tuple[str, Row] | None:
+        """Guards against an entry that can't be read any more: the instance stays as it was, but for a state
+        that can be read, as its drain has to be kept. Could harm where what can't be read is its address."""
+        uid = entry.get("uid") if isinstance(entry, dict) else None
+        if not isinstance(uid, str) or uid not in self.rows:
+            return None
+        row, state = self.rows[uid], entry.get("state")
+        health = STATES.get(state, row[4]) if isinstance(state, str) else row[4]
+        return uid, (*row[:4], health, *row[5:])
 
     def forget(self, uid: str) -> None:
-        self.endpoints.pop(uid, None)
+        self.rows.pop(uid, None)
         self.started.pop(uid, None)
 
     def row(self, entry: Any, now: float, wall: float) -> tuple[str, Row]:
         try:
-            uid, boot = entry["uid"], int(entry.get("boot_ms", 0))
+            uid, boot = entry["uid"], int(entry.get("boot_ms") or 0)
             host, _, port = entry["endpoint"].rpartition(":")
             place, role = self.kinds[entry["model"]]
-            zone, health = self.zones[entry["az"]], STATES[entry["state"]]
-            group, size = int(entry.get("pod_group", 0)), float(entry.get("capacity_hint", 1.0))
-            number = int(port)
-            endpoint = self.endpoints.get(uid)
-        except (KeyError, TypeError, ValueError, AttributeError) as problem:
+            # A layout without zones or cells names none: all lie in one.
+            zone = self.zones[entry["az"]] if entry.get("az") else 0
+            health, group = STATES[entry["state"]], int(entry.get("pod_group") or 0)
+            size = float(1.0 if entry.get("capacity_hint") is None else entry["capacity_hint"])
+            number, known = int(port), number_of(uid)
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as problem:
             raise ListError(f"an instance that can't be read: {problem!r}") from None
+        if not (host and 0 < number < 65536 and isfinite(size)):
+            raise ListError("an instance that can't be read: its endpoint or capacity_hint is out of range")
+        endpoint = self.rows[uid][0] if uid in self.rows else None
         if endpoint is None or (endpoint.address, endpoint.port, endpoint.role) != (host, number, role):
-            endpoint = self.endpoints[uid] = Endpoint(number_of(uid), uid, role, host, number)
+            endpoint = Endpoint(known, uid, role, host, number)
         told, started = self.started.get(uid, (-1, 0.0))
         if told != boot:
             # Kept by what was told, so that a clock that is set does not make a running process look new.
-            started = max(now - max(wall - boot / 1000, 0.0), 1e-6) if boot else 0.0
+            # On the front's clock, which may have begun later than the process: then it lies before zero.
+            started = (now - max(wall - boot / 1000, 0.0) or 1e-6) if boot else 0.0
             self.started[uid] = boot, started
         return uid, (endpoint, zone, place, group, health, size, started)
 
