What no listed engine may take any more is answered at once; layouts without a role decide

Seen by tests on the module as it was: a tokened completion past its memory time, or with its group drained, got no answer until 0.15 s before its client timeout (`hopeless` looked at tries, the clock and non-idempotent work only, while `may_go_to` said no for every engine); so did one with one try left and no mixed server (`placed` asks for a reader with two left), and all work where writers, readers and mixed servers were missing. Waits whose only end was the clock were listed: those four are given up; waits for a reader's gate, a writer's room, a rest, a turn at a cold engine or the first list are waits for room and stay. Also: readInPlace was read by nothing; a front whose clock starts at zero never subscribed (`0 < ask_at`); an answer told whole counted as a stream since zero and closed its engine; a known number with another kind, zone or cell kept the old ones; a pin limit near a look's length (0.05 s) was overrun; memory, token target and fall window of zero divided or closed for good.

--- a/heathford/bootinfo.py
+++ b/heathford/bootinfo.py
@@ -42,4 +42,4 @@
         may_cancel=limits.get("cancel", False), may_delay_retries=limits.get("retryAfter", False),
         longest_retry=limits.get("maxRetryAfterNs", 0) / NS, warm_after=safety["warmAfterNs"] / NS,
         cold_from=safety["coldFrom"], cold_multiple=safety["tipMultiple"],
-        cold_window=safety["fallNs"] / NS)
+        cold_window=safety["fallNs"] / NS, read_in_place=info["familyInfo"].get("readInPlace", False))
--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -19,7 +19,7 @@
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from hashlib import blake2b
-from math import exp2
+from math import exp2, inf
 from statistics import median
 from typing import Any
 
@@ -264,6 +264,8 @@
         if seq >= len(self.dispatches) or self.dispatches[seq].verdict:
             return  # never sent, or told before
         now, dispatch, engine = self.router.clock.now, self.dispatches[seq], self.dispatches[seq].engine
+        if verdict is Verdict.FINISHED and not dispatch.streaming:
+            self.first_token(seq, latency)  # told whole: else it would count as a stream begun at zero
         dispatch.verdict = verdict
         engine.out = [d for d in engine.out if d is not dispatch]
         if load:
@@ -274,7 +276,7 @@
         self.stuck = False  # looked at at once: a final answer may be due
         if verdict is not Verdict.UNREACHABLE or not self.state:
             self.held_since = now
-        elif now - self.held_since >= HOLD * self.router.pin_limit:
+        elif now - self.held_since >= self.router.hold:
             # Guards against a state pinned while one writer after the other can't be reached: nothing came to
             # an engine since the read. Costs a second read where the next would have been reached.
             self.let_go()
@@ -330,8 +332,18 @@
             or (group is Group.ZONE and d.engine.zone == engine.zone) for d in risky)
 
     def hopeless(self, now: float) -> bool:
-        spent = len(self.dispatches) >= self.router.try_limit or now >= self.due - LAST_CALL
-        return spent or (self.workload.effect is Effect.NON_IDEMPOTENT and bool(self.risky()))
+        return now >= self.due - LAST_CALL or not self.has_taker(now)
+
+    def has_taker(self, now: float) -> bool:
+        """Guards against waits that only the clock ends, as of a tokened one past its time or with its group
+        gone: for room one waits, for what no listed engine may do nobody does. Could harm where one comes
+        back a moment later; the client is told when to."""
+        router, tries = self.router, self.router.try_limit - len(self.dispatches)
+        if not router.told:
+            return tries > 0  # a front that has just started waits for its list
+        read = self.state or (tries > 1 and router.pools[Role.READER])
+        return tries > 0 and any(
+            self.may_go_to(e, now) for e in (router.writers if read else router.pools[Role.MIXED]))
 
     def give_up(self) -> None:
         self.let_go()
@@ -348,24 +360,28 @@
         self, clock: Clock, door: InstanceDoor, seed: int, kinds: Sequence[Kind],
         workloads: Sequence[Workload], number: int, fronts: int, zone: int,
         try_limit: int, pin_limit: float, may_cancel: bool, may_delay_retries: bool, longest_retry: float,
-        warm_after: float, cold_from: float, cold_multiple: float, cold_window: float, subscribe: bool,
+        warm_after: float, cold_from: float, cold_multiple: float, cold_window: float, read_in_place: bool,
+        subscribe: bool,
     ) -> None:
         self.clock, self.door, self.random = clock, door, random.Random(seed)
         self.kinds, self.workloads = kinds, workloads
-        self.tightest = min(w.latency_target for w in workloads)
+        self.tightest = min((w.latency_target for w in workloads), default=inf)
         self.number, self.fronts, self.zone = number, max(1, fronts), zone
         self.try_limit, self.pin_limit, self.may_cancel = try_limit, pin_limit, may_cancel
         self.retry_after = min(RETRY_AFTER, longest_retry) if may_delay_retries else 0.0
-        self.warm_after, self.cold_window = warm_after, cold_window
+        self.hold = min(HOLD * pin_limit, pin_limit - 2 * TICK)  # what waits is looked at once a tick
+        self.warm_after, self.cold_window = warm_after, max(cold_window, TICK)
+        self.read_in_place = read_in_place
         self.cold_share = COLD_PART * cold_from * cold_multiple  # of what a warm engine gets
         self.engines: dict[int, Engine] = {}
         self.listed: dict[int, None] = {}
+        self.told = False  # of any engine, ever
         self.list_ends()
         self.read_fit, self.mixed_fit = Fit(2), Fit(3)
         self.last_mixed: dict[str, Engine] = {}
         self.waiting: list[Completion] = []
         self.answers: deque[tuple[float, Engine]] = deque(maxlen=KEPT_MOST)  # reads and first tokens lately
-        self.wake_at, self.looked, self.ask_at = 0.0, 0.0, clock.now * subscribe
+        self.wake_at, self.looked, self.ask_at = -inf, -inf, clock.now if subscribe else inf
         self.asked = self.good = self.counted_at = 0.0  # completions lately, and those answered in time
 
     def list_begins(self, complete: bool) -> None:
@@ -375,9 +391,11 @@
         self, number: int, zone: int, kind: int, cell: int, health: Health, size: float, started: float
     ) -> None:
         self.listed[number] = None
-        if number not in self.engines:
-            self.engines[number] = Engine(number, zone, cell, self.kinds[kind], size, started)
-        engine = self.engines[number]
+        engine = self.engines.get(number)
+        if not engine or (engine.zone, engine.cell, engine.kind) != (zone, cell, self.kinds[kind]):
+            if engine:  # another machine under a known number: what is out at the old one ends there
+                engine.health = Health.GONE
+            engine = self.engines[number] = Engine(number, zone, cell, self.kinds[kind], size, started)
         if engine.started != started:
             engine.begin(started)
         engine.health = health
@@ -395,6 +413,9 @@
         self.cold_parts: dict[Role, tuple[float, float]] = {}  # when worked out, and sends a second
         self.pools = {role: [e for e in listed if e.kind.role is role] for role in Role}
         self.writers = self.pools[Role.WRITER] + self.pools[Role.MIXED]
+        if self.read_in_place and not self.pools[Role.MIXED]:
+            self.pools[Role.MIXED] = self.pools[Role.WRITER]  # they read as mixed servers do, where none is
+        self.told = self.told or bool(self.engines)
         self.rings = {role: (Ring([e for e in pool if e.zone == self.zone]), Ring(pool))
                       for role, pool in self.pools.items()}
 
@@ -407,7 +428,8 @@
         shared_tokens: int, longest: int, answer_hint: float, due: float,
     ) -> Completion:
         now, kind = self.clock.now, self.workloads[workload]
-        answer = min(longest, answer_hint / kind.token_target if answer_hint else longest / 2)
+        hinted = answer_hint and kind.token_target
+        answer = min(longest, answer_hint / kind.token_target if hinted else longest / 2)
         completion = Completion(self, door, kind, session, shared, prompt, shared_tokens, answer, due,
                                 (workload, member), now)
         kept, self.counted_at = exp2((self.counted_at - now) / STALE), now
@@ -428,8 +450,8 @@
         """The next step of all with no dispatch out; what can't be placed waits and is looked at once a tick.
         While others wait, or in a jam, what can hardly meet its target makes way for what can."""
         now, jammed = self.clock.now, self.jammed
-        if 0 < self.ask_at <= now:
-            self.ask_at = 0.0
+        if self.ask_at <= now:
+            self.ask_at = inf
             self.door.subscribe()
         again = now - self.looked >= TICK
         crowded = jammed or any(c.stuck for c in self.waiting)
@@ -489,8 +511,9 @@
 
     def pick_mixed(self, completion: Completion) -> Engine | None:
         now, last = self.clock.now, self.last_mixed.get(completion.session)
-        if last and last.health is Health.ON and self.usable(last) and completion.may_go_to(last, now) and (
-                last.tokens <= MEDIANS * median(e.tokens for e in self.pools[Role.MIXED])):
+        pool = self.pools[Role.MIXED]
+        if last and last in pool and self.usable(last) and completion.may_go_to(last, now) and (
+                last.tokens <= MEDIANS * median(e.tokens for e in pool)):
             return last
         return self.hashed_pair(completion, Role.MIXED, lambda e: completion.may_go_to(e, now))
 
@@ -517,6 +540,8 @@
         if engine.closed(completion.origin, now, self.tightest) or engine.crawls(now) or (
                 load.get("queue", 0.0) >= 1.0 or load.get("slots", 0.0) >= SLOTS_USED):
             return False
+        if not engine.kind.memory:
+            return True  # not told how much
         since = sum(d.tokens for d in engine.out if d.sent > engine.load_at or "memory" not in load)
         return since * self.fronts + completion.prompt + completion.answer < (
             MEMORY_USED - load.get("memory", 0.0)) * engine.kind.memory
@@ -526,7 +551,7 @@
         near = [e for e in able if e.zone == reader.zone]
         turned = [e for e in near if self.cold(e)]
         pools = turned, [e for e in near if e.cell == reader.cell], near, able
-        waited = now - completion.held_since >= HOLD * self.pin_limit
+        waited = now - completion.held_since >= self.hold
         fit = next(filter(None, ([e for e in pool if self.has_room(e, completion)] for pool in pools)), [])
         if waited and not fit:  # a state may not be held on
             fit = [e for e in able if not e.closed(completion.origin, now, self.tightest)] or able
@@ -538,7 +563,7 @@
         return bool(fit)
 
     def cold(self, engine: Engine) -> bool:
-        return engine.started > 0 and self.clock.now - engine.started < self.warm_after
+        return engine.started != 0.0 and self.clock.now - engine.started < self.warm_after
 
     def usable(self, engine: Engine) -> bool:
         free = not engine.trickle or len(engine.unanswered) < engine.trickle
--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -223,7 +223,7 @@
         workloads: Sequence[Workload], number: int, fronts: int, zone: int, try_limit: int, pin_limit: float,
         may_cancel: bool, longest_retry: float, warm_after: float, cold_from: float, cold_multiple: float,
         cold_window: float, answer_margin: float, stream_limit: float = inf, may_delay_retries: bool = True,
-        subscribe: bool = False,
+        read_in_place: bool = False, subscribe: bool = False,
     ) -> None:
         self.loop, self.link, self.name, self.workloads = loop, link, name, workloads
         self.answer_margin, self.stream_limit = answer_margin, stream_limit
@@ -239,7 +239,8 @@
         self.idle: list[Callable[[], None]] = []  # called once nothing is live
         self.router = Router(
             self.clock, self, seed, kinds, workloads, number, fronts, zone, try_limit, pin_limit, may_cancel,
-            may_delay_retries, longest_retry, warm_after, cold_from, cold_multiple, cold_window, subscribe)
+            may_delay_retries, longest_retry, warm_after, cold_from, cold_multiple, cold_window,
+            read_in_place, subscribe)
 
     # What the Router asks for: heathford.interface.InstanceDoor.
 
