A setting that is missing or can't be used is told by its name, at the start and at SIGHUP

Seen: a configuration without nInstances started as one front of one, so with the whole of all fronts' budget for a cold engine; a tokened workload without a group counted as known to all engines (a second effect, if it is not); a text for connectTimeoutNs or sockets, or a category without a name, passed the check and raised a traceback later; what was told was `KeyError('safety')`. Change: every setting is read with its place, range and words ("safety.fallNs is missing", "familyInfo.roleByKind[1] is none of read, write, both"); the start ends with 2, SIGHUP keeps the old configuration. What is not allowed in words is not allowed; a number or zone not told is the first; unknown keys are passed over. An address that can't be listened on is told too.

--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -74,7 +74,10 @@
             except NonsenseError as problem:
                 log.error("the engines known from before can't be read", why=str(problem))
         self.watch.start()
-        sock = socket.create_server(self.listen, backlog=BACKLOG)
+        try:
+            sock = socket.create_server(self.listen, backlog=BACKLOG)
+        except OSError as problem:
+            raise StartError(f"NODE_LISTEN can't be listened on: {problem}") from None
         sock.setblocking(False)
         # Its backlog is also how many asyncio accepts at once, before any that makes way is really closed.
         self.server = await self.loop.create_server(self.door.connection, sock=sock, backlog=ACCEPTED)
--- a/heathford/platform/start.py
+++ b/heathford/platform/start.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from heathford.bootinfo import figures_of, kinds_of
+from heathford.bootinfo import SettingError, figure, figures_of, found, named, places
 
 VARIABLES = ("NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY", "NODE_CONFIG")
 
@@ -25,31 +25,40 @@
 def told(path: Path) -> dict[str, Any]:
     """The configuration, checked as far as it will be used. Raises StartError."""
     try:
-        found = orjson.loads(path.read_bytes())
+        said = orjson.loads(path.read_bytes())
     except OSError as problem:
         raise StartError(f"the configuration can't be read: {problem}") from None
     except orjson.JSONDecodeError as problem:
         raise StartError(f"the configuration is no JSON: {problem}") from None
-    if not isinstance(found, dict):
+    if not isinstance(said, dict):
         raise StartError("the configuration is no JSON object")
     for key in ("limits", "settings"):
-        if not isinstance(found.get(key), dict):
+        if not isinstance(said.get(key), dict):
             raise StartError(f"the configuration has no object {key!r}")
-    address_of(found.get("discovery"), "discovery")
-    settings = found["settings"]
+    address_of(said.get("discovery"), "discovery")
+    settings = said["settings"]
     try:
         figures_of(settings)
-        for name, place in (("kinds", settings["kinds"]), ("azs", settings["azs"]),
-                            ("categories", settings["categories"])):
-            if not isinstance(place, list):
-                raise TypeError(f"{name} is no list")
-        if len(settings["kinds"]) != len(kinds_of(settings)):
-            raise ValueError("kinds and roleByKind differ in length")
+        names(settings, "kinds", places(settings, "kinds", like=("familyInfo", "roleByKind")))
+        names(settings, "azs", places(settings, "azs"))
+        names(settings, "categories", places(settings, "categories"), "name")
         for key in ("connIdleNs", "connectTimeoutNs"):
-            float(settings["policyLimits"][key])
-    except (KeyError, TypeError, ValueError, AttributeError) as problem:
-        raise StartError(f"the settings can't be used: {problem!r}") from None
-    return found
+            figure(settings, "policyLimits", key, least=1.0)
+        if said["limits"].get("sockets") is not None:
+            figure(said, "limits", "sockets")
+    except SettingError as problem:
+        raise StartError(f"the settings can't be used: {problem}") from None
+    return said
+
+
+def names(settings: Mapping[str, Any], key: str, places: range, *below: str) -> None:
+    """Raises SettingError unless each is a text of its own: the list and clients speak by them."""
+    seen: dict[str, None] = {}
+    for place in places:
+        name = found(settings, key, place, *below)
+        if not isinstance(name, str) or name in seen:
+            raise SettingError(f"{named((key, place, *below))} is no name of its own: {str(name)[:80]!r}")
+        seen[name] = None
 
 
 def from_environment(variables: Mapping[str, str]) -> tuple[str, tuple[str, int], tuple[str, int], Path]:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 from collections.abc import Awaitable, Callable
 from pathlib import Path
@@ -341,6 +342,11 @@
         node.process.send_signal(signal.SIGHUP)
         await node.until("configuration not taken")
         assert await node.ask("c0") == (200, ALL, True)
+        without = {key: value for key, value in node.config["settings"].items() if key != "nInstances"}
+        node.path.write_bytes(orjson.dumps({**node.config, "discovery": "127.0.0.1:1", "settings": without}))
+        node.process.send_signal(signal.SIGHUP)
+        told = await node.until("configuration not taken")
+        assert "nInstances is missing" in told["why"]
         await other.open()
         moved = Agent(a, other)
         moved.version = 7
@@ -378,19 +384,25 @@
     ({}, "not told by the platform: NODE_NAME"), ({"NODE_LISTEN": "here"}, "NODE_LISTEN is no HOST:PORT"),
     ({"NODE_CONFIG": "nowhere.json"}, "the configuration can't be read"),
     ({"text": "[]"}, "no JSON object"), ({"text": '{"limits":{},"settings":{},"discovery":"h:1"}'},
-                                         "the settings can't be used")])
+                                         "the settings can't be used: familyInfo is missing"),
+    ({"text": "good", "NODE_LISTEN": "taken"}, "NODE_LISTEN can't be listened on")])
 def test_a_start_that_can_not_be_is_told(tmp_path: Path, variables: dict[str, str], why: str) -> None:
     async def run() -> None:
         path = tmp_path / "config.json"
-        path.write_text(variables.pop("text", "{}"))
+        text = variables.pop("text", "{}")
+        path.write_bytes(text.encode() if text != "good" else orjson.dumps(
+            {"discovery": "127.0.0.1:1", "limits": {}, "settings": settings()}))
         given = variables and {"NODE_NAME": "n", "NODE_LISTEN": "127.0.0.1:0", "NODE_DISCOVERY": "h:1",
                                "NODE_CONFIG": str(path), **variables}
         if why.startswith("no JSON") or "settings" in why:
             given = {"NODE_NAME": "n", "NODE_LISTEN": "127.0.0.1:0", "NODE_DISCOVERY": "h:1",
                      "NODE_CONFIG": str(path)}
+        if variables.get("NODE_LISTEN") == "taken":
+            given["NODE_LISTEN"] = f"127.0.0.1:{other.getsockname()[1]}"
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "heathford", "platform", cwd=Path(__file__).parent.parent,
             stderr=asyncio.subprocess.PIPE, env={**os.environ, **given})
         _, error = await process.communicate()
         assert process.returncode == 2 and why in error.decode()
-    asyncio.run(run())
+    with socket.create_server(("127.0.0.1", 0)) as other:
+        asyncio.run(run())
