A state is let go before the next dispatch, and not by its holder alone

At fault: core.py `Taken.let_go`/`settle`, which kept a release until no dispatch was out; one that can't connect stops no clock. Change: the release goes at once, before the next dispatch, which the link held back already until a DELETE is through.

--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -99,7 +99,6 @@
         self.out: Dispatch | None = None
         self.kv: Mapping[str, Any] | None = None
         self.state_at: Dispatch | None = None  # the reading dispatch that left the state
-        self.owed: Dispatch | None = None  # left a state, perhaps, that is still to be let go
         self.over = False  # final answer given, or the client has gone
         self.abandoned = False  # its decision failed: nothing more is asked of its handle
         self.timer: Cancellable | None = core.loop.call_at(due + core.answer_margin / 2, self.overdue)
@@ -149,19 +148,10 @@
             self.core.guarded(lambda: self.sink.finished(reason, usage))
 
     def let_go(self, dispatch: Dispatch) -> None:
-        """Guards against a release that takes a later dispatch's state: where all have one name it waits, at
-        the end of a turn, until none is out and no state waits for a writer. Till then nothing is pinned for
-        longer than the Router lets a state wait."""
-        if self.one_name:
-            self.owed = dispatch
-            self.core.check_gone(self)
-        else:
-            self.core.link.release(dispatch.endpoint, dispatch.name)
-
-    def settle(self) -> None:
-        if self.owed and self.out is None and self.state_at is None:
-            owed, self.owed = self.owed, None
-            self.core.link.release(owed.endpoint, owed.name)
+        """Now, before the next dispatch: one that can't connect, or whose bytes reach nobody, stops no clock,
+        and several in a row outlast the pin limit. Where all have one name the link holds what is sent next
+        until the release is through, so that it takes no later state. Costs that dispatch a round trip."""
+        self.core.link.release(dispatch.endpoint, dispatch.name)
 
     def close(self, how: str) -> bool:
         """True for the first call only: a completion gets one final answer."""
@@ -331,7 +321,6 @@
         self.decide()
         touched, self.touched = self.touched, {}
         for taken in touched:
-            taken.settle()
             if taken.gone:
                 self.live.pop(taken, None)
         if not self.live and self.idle:
--- a/heathford/core/doors.py
+++ b/heathford/core/doors.py
@@ -63,7 +63,8 @@
         `mark`: by which a tokened repeat is known, or empty. Tells of nothing before it has returned."""
 
     def release(self, endpoint: Endpoint, name: str) -> None:
-        """Lets go of the state that the dispatch `name` left, or may have left, at a reader."""
+        """Lets go of the state that the dispatch `name` left, or may have left, at a reader. Where several
+        are called by one name, what is sent under it afterwards starts once this is through."""
 
 
 class Cancellable(Protocol):
--- a/heathford/engines/pools.py
+++ b/heathford/engines/pools.py
@@ -67,6 +67,11 @@
     def keep(self, pool: Connections[C], connection: C, now: float) -> None:
         pool.idle.append((connection, now))
 
+    def idle_addresses(self) -> list[Address]:
+        """Of those with an idle connection, the one that was in use last first."""
+        idle = [pool for pool in self.pools.values() if pool.idle]
+        return [pool.address for pool in sorted(idle, key=lambda pool: -pool.idle[-1][1])]
+
     def lost(self, pool: Connections[C], connection: C | None) -> None:
         """Called once for each that was opened. Nothing is left of an address without connections: engines
         come and go under new ones, and a map of all that ever were would grow for as long as a front runs."""
--- a/heathford/fleet/instances.py
+++ b/heathford/fleet/instances.py
@@ -80,6 +80,11 @@
         health = STATES.get(state, row[4]) if isinstance(state, str) else row[4]
         return uid, (*row[:4], health, *row[5:])
 
+    def listed(self, zone: int) -> tuple[list[Endpoint], list[Endpoint]]:
+        """Those that are on, of that zone and of the others."""
+        on = [row for row in self.rows.values() if row[4] is Health.ON]
+        return [row[0] for row in on if row[1] == zone], [row[0] for row in on if row[1] != zone]
+
     def forget(self, uid: str) -> None:
         self.rows.pop(uid, None)
         self.started.pop(uid, None)
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -8,7 +8,7 @@
 import select
 import socket
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
 from typing import Any
 
@@ -16,7 +16,7 @@
 
 from heathford.core.doors import CallEvents, Endpoint
 from heathford.core.tasks import Tasks
-from heathford.engines.letting_go import LettingGo
+from heathford.engines.letting_go import LettingGo, next_to_ask
 from heathford.engines.pools import Connections, Pools
 from heathford.interface import Role, Verdict
 from heathford.platform.answers import LONGEST_LINE, Answer
@@ -310,9 +310,14 @@
 
 
 class PlatformLink:
-    """connect_timeout, pin_limit, idle (after which engines close) in s; connections: at most, in all."""
+    """connect_timeout, pin_limit, idle (after which engines close) in s; connections: at most, in all.
+    listed: engines that are on, those of the own zone and the others."""
 
-    def __init__(self, connect_timeout: float, pin_limit: float, idle: float, connections: int) -> None:
+    def __init__(
+        self, connect_timeout: float, pin_limit: float, idle: float, connections: int,
+        listed: Callable[[], tuple[Sequence[Endpoint], Sequence[Endpoint]]],
+    ) -> None:
+        self.listed = listed
         self.loop = asyncio.get_running_loop()
         self.connect_timeout, self.pin_limit = connect_timeout, pin_limit
         self.pools: Pools[EngineConnection] = Pools(IDLE_PART * idle, connections, SETTLED)
@@ -351,10 +356,10 @@
                 attempt = Release(self, asked[-1], name, tries.patience(self.loop.time()))
                 if tries.is_over(await attempt.status):
                     return
-                known = [(e.address, e.port) for e in asked]
-                other = next((p.address for p in self.pools.pools.values() if p.idle
-                              and p.address not in known), None)
-                asked.append(Endpoint(0, "", holder.role, *other) if other else holder)
+                other = next_to_ask(name, asked, self.pools.idle_addresses(), *self.listed())
+                if other is not holder and self.loop.time() < attempt.until:
+                    tries.refused()
+                asked.append(other)
             self.unreleased += 1
             log.warning("state not let go", completion=name, tried=[f"{e.address}:{e.port}" for e in asked])
         finally:
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -46,18 +46,18 @@
         settings = told["settings"]
         limits, figures = settings["policyLimits"], figures_of(settings)
         sockets = int(told["limits"].get("sockets") or resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        self.instances = Instances(
+            {kind: (place, known.role) for place, (kind, known) in
+             enumerate(zip(settings["kinds"], figures["kinds"], strict=True))}, settings["azs"])
         self.link = PlatformLink(
             limits["connectTimeoutNs"] / NS, figures["pin_limit"], limits["connIdleNs"] / NS,
-            int(ENGINE_PART * sockets))
+            int(ENGINE_PART * sockets), lambda: self.instances.listed(figures["zone"]))
         self.core = Core(
             self.loop, self.link, name, seed_of(told), answer_margin=ANSWER_MARGIN,
             subscribe=settings.get("registryMode") == "subscribe", **figures)
         self.door = Door(
             self.core, {c["name"]: place for place, c in enumerate(settings["categories"])},
             int(CLIENT_PART * sockets))
-        self.instances = Instances(
-            {kind: (place, known.role) for place, (kind, known) in
-             enumerate(zip(settings["kinds"], figures["kinds"], strict=True))}, settings["azs"])
         self.watch = Watch(*discovery, self.instances, self.core.list_changed)
         self.ending = asyncio.Event()
         self.known = told.get("known")
