A list call that the agent leaves unanswered is made anew within the drain's grace

Logs: all 218 front nodes log discovery TimeoutError at 7.2 s (the watch, silent since 2.2) and again at 12.3 s, with nothing between: the list call made at 7.3 while discovery was down stayed unanswered for SILENCE = 5 s, though discovery was back by 10.5, when the agent had 15 drains, which counts as told. At fault: fleet/watch.py `get`, one time-out for a watch, which gets a line each 2 s, and for a list call, which the agent answers at once or, asked while discovery is down, never; AGAIN_MOST 0.8 s beside a grace of 1 s (0.5 s on another). Ruled out: entries passed over (none logged), a list not played (versions 1 and 4 show at 14 and 15 s). Change: ANSWER = 0.15 s for list calls, AGAIN_MOST 0.2 s, so 0.35 s from the agent's having it at most. The test on loopback fails with the old time-out.

--- a/heathford/fleet/instances.py
+++ b/heathford/fleet/instances.py
@@ -11,7 +11,10 @@
 
 STATES = {"SERVING": Health.ON, "DRAINING": Health.DRAINING, "DELETED": Health.GONE}
 AGAIN = 0.05  # s before a failed call is made again: the agent is on this machine and answers at no cost
-AGAIN_MOST = 0.8  # s, doubled up to here: news counts as told some seconds after it is there, heard or not
+AGAIN_MOST = 0.2  # s, doubled up to here: what the agent has counts as told at once, and the shortest drain
+# grace that deployments state is 0.5; this and ANSWER together leave room within it
+ANSWER = 0.15  # s without a byte after which a list call is made anew: the agent replies at once, or never if
+# it was asked while discovery was down
 SILENCE = 5.0  # s without a byte after which a watch is dead: an empty line comes each 2
 LONGEST = 4_194_304  # bytes of a list: thousands of engines
 
--- a/heathford/fleet/watch.py
+++ b/heathford/fleet/watch.py
@@ -8,7 +8,7 @@
 import structlog
 
 from heathford.fleet.follow import Lines, ListError, Row
-from heathford.fleet.instances import LONGEST, SILENCE, Instances
+from heathford.fleet.instances import ANSWER, LONGEST, SILENCE, Instances
 from heathford.wire.http1 import NonsenseError, Response, request
 
 PATH = "/registry/instances"
@@ -59,25 +59,26 @@
             self.changed(*found)
 
     async def list_all(self) -> None:
-        self.told(b"".join([part async for part in self.get(PATH)]))
+        self.told(b"".join([part async for part in self.get(PATH, ANSWER)]))
 
     async def follow(self) -> None:
         lines = Lines(LONGEST)
-        async with aclosing(self.get(f"{PATH}?follow=1&since={self.instances.version}")) as parts:
+        async with aclosing(self.get(f"{PATH}?follow=1&since={self.instances.version}", SILENCE)) as parts:
             async for part in parts:
                 for line in lines.feed(part):
                     self.told(line)
 
-    async def get(self, path: str) -> AsyncGenerator[bytes, None]:
-        """The parts of the body as they come; raises ListError for another status than 200."""
+    async def get(self, path: str, patience: float) -> AsyncGenerator[bytes, None]:
+        """The parts of the body as they come, each within `patience` s; raises ListError for another status
+        than 200."""
         writer = None
         try:
-            async with asyncio.timeout(SILENCE):
+            async with asyncio.timeout(patience):
                 reader, writer = await asyncio.open_connection(self.address, self.port)
                 writer.write(request("GET", path, self.address, {"Accept": "application/json"}, b""))
             response = Response(LONGEST)
             while not response.done:
-                async with asyncio.timeout(SILENCE):
+                async with asyncio.timeout(patience):
                     data = await reader.read(READ_BYTES)
                 if not data:
                     raise EOFError("discovery closed")
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -12,6 +12,9 @@
 import orjson
 import pytest
 
+from heathford.fleet.instances import Instances
+from heathford.fleet.watch import Watch
+from heathford.interface import Health, Role
 from heathford.standin.platform import EVENTS, GOOD, Agent, ScriptedEngine, settings
 
 ALL = b"".join(EVENTS)
@@ -391,6 +394,37 @@
     play(tmp_path, [a, b, other], day)
 
 
+def test_what_discovery_has_after_a_silence_is_heard_within_the_shortest_grace(tmp_path: Path) -> None:
+    """Seen on a fleet whose discovery was down for 8 s: the list call made meanwhile was never answered and
+    waited for 5 s, while what the agent had counted as told and engines drained."""
+    async def run() -> None:
+        engine = writer()
+        await engine.open()
+        agent = Agent(engine)
+        await agent.open()
+        heard: list[Health] = []
+        host, _, port = agent.address.rpartition(":")
+        watch = Watch(host, int(port), Instances({"m1": (0, Role.WRITER)}, ["a", "b"]),
+                      lambda complete, rows: heard.extend(row[4] for row in rows))
+        watch.start()
+        try:
+            async with asyncio.timeout(LIMIT):
+                await agent.until_watched()
+                agent.silent = True
+                for watching in agent.watching:
+                    watching.close()
+                await asyncio.sleep(1.0)
+                agent.silent, engine.state = False, "DRAINING"
+                agent.version += 1
+                await asyncio.sleep(0.5)
+                assert heard[-1] is Health.DRAINING
+        finally:
+            watch.stop()
+            agent.close()
+            engine.close()
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("variables, why", [
     ({}, "not told by the platform: NODE_NAME"), ({"NODE_LISTEN": "here"}, "NODE_LISTEN is no HOST:PORT"),
     ({"NODE_CONFIG": "nowhere.json"}, "the configuration can't be read"),
