Settings: lengths of the kinds' lists compared once, and a bound that nothing used taken out

Read once more: `kinds_of` compared roleByKind with memoryTokens anew for each kind, and `figure` took an upper bound that no caller gives.

--- a/heathford/bootinfo.py
+++ b/heathford/bootinfo.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Mapping
 from enum import Enum
-from math import inf, isfinite
+from math import isfinite
 from typing import Any, TypeVar
 
 from heathford.interface import Effect, Group, Kind, Role, Workload
@@ -41,10 +41,10 @@
     return at
 
 
-def figure(info: Any, *path: str | int, least: float = 0.0, most: float = inf) -> float:
+def figure(info: Any, *path: str | int, least: float = 0.0) -> float:
     value = found(info, *path)
     if isinstance(value, bool) or not isinstance(value, int | float) or not (
-            isfinite(value) and least <= value <= most):
+            isfinite(value) and least <= value):
         raise SettingError(f"{named(path)} is no figure in range: {str(value)[:80]!r}")
     return float(value)
 
@@ -88,7 +88,7 @@
 def kinds_of(info: Mapping[str, Any]) -> list[Kind]:
     roles, memory = ("familyInfo", "roleByKind"), ("familyInfo", "memoryTokens")
     return [Kind(word(ROLES, info, *roles, place), count(info, *memory, place))
-            for place in places(info, *roles) if places(info, *memory, like=roles)]
+            for place in places(info, *memory, like=roles)]
 
 
 def workloads_of(info: Mapping[str, Any]) -> list[Workload]:
