Cold engines take a part of what leads to them; ties of a drawn pair go to the first

Most that one cold engine got in a second: 3, where the rule allows some 14. Ruled out: rests ('readers closed 0/10 unusable 5/10' of what waited). At fault: Router.has_turn and the cold engine first in hashed_pair: a turn passes where a front has no completion in it, is used in the own zone alone, and the cold engine reads texts that lead elsewhere once it is warm. Change: cold engines are drawn as warm ones, each front lets in the same part of what leads there.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -7,7 +7,7 @@
 The design: two fitted read times and their balanced cut choose a reader or a mixed server; gates; hashed
 readers; near writers chosen after the read. Beside it stand six mechanisms:
 1. trickle: an engine set aside, or just started, gets one dispatch, then twice as many while it goes well
-2. turns: fronts take turns at a cold engine by their own number, each within a budget of sends
+2. parts: of what leads to a cold engine, all fronts let in the same part
 3. rests: an engine that is slow, silent or turns work away rests, longer each time in a row
 4. room: reported memory, slots and queue tell who can take one more; the rest waits
 5. further dispatches: what may be sent again, rate-limited or only aborted, and letting go of what is held
@@ -18,6 +18,7 @@
 from bisect import bisect
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
+from functools import partial
 from hashlib import blake2b
 from math import exp2, inf
 from statistics import median
@@ -56,8 +57,6 @@
 ERRORS = 2.0  # failures in a row before an engine is set aside: one alone is chance
 FAILURES = {Verdict.ERROR: 1.0, Verdict.TIMED_OUT: 1.0, Verdict.BROKEN: 1.0, Verdict.UNREACHABLE: ERRORS}
 TRICKLE_DONE = 16  # dispatches at once from which a trickle is over
-TURNS = 4  # in the rule's window, so that any span of its length holds no more than five turns' sends
-GOLDEN = 0.618034  # of a whole: its multiples spread evenly, whatever their number
 COLD_PART = 0.8  # of the rule's own budget at the coldest, against warm engines' mean: the rest is chance
 
 POINTS = 32  # of an engine on the ring that prompts are hashed to: shares of readers differ by a sixth or so
@@ -252,6 +251,7 @@
             return
         now, dispatch = self.router.clock.now, self.dispatches[seq]
         dispatch.streaming = now
+        self.router.heard += dispatch.local
         if dispatch.local:  # the stream's end would tell the cached tokens, but comes seconds late
             self.router.mixed_fit.add(mixed_features(dispatch.new, dispatch.contexts), latency, now)
         self.over, self.state = True, None
@@ -285,6 +285,7 @@
             engine.keeps.clear()  # it lost what it kept, all at once as a rule
         if verdict is Verdict.READ:
             engine.went_well(latency, self.target, now, self.router.answers)
+            self.router.heard += 1
             self.router.read_fit.add(read_features(self.prompt - detail), latency, now)
             engine.keep(self)
             self.state = engine
@@ -383,6 +384,7 @@
         self.answers: deque[tuple[float, Engine]] = deque(maxlen=KEPT_MOST)  # reads and first tokens lately
         self.wake_at, self.looked, self.ask_at = -inf, -inf, clock.now if subscribe else inf
         self.asked = self.good = self.counted_at = 0.0  # completions lately, and those answered in time
+        self.read = self.heard = 0.0  # reads lately, and those answered
 
     def list_begins(self, complete: bool) -> None:
         self.listed = {} if complete else dict.fromkeys(self.engines)
@@ -434,6 +436,7 @@
                                 (workload, member), now)
         kept, self.counted_at = exp2((self.counted_at - now) / STALE), now
         self.asked, self.good = self.asked * kept + completion.counts, self.good * kept
+        self.read, self.heard = self.read * kept, self.heard * kept
         if self.random.random() * self.asked > ADMIT * self.good + DOUBT:
             completion.late_at = now
         self.waiting.append(completion)
@@ -501,7 +504,7 @@
     def pick_reader(self, completion: Completion) -> Engine | None:
         """Guards against states piling up before full writers, the strain of the memory fallback: no read
         starts while no writer has room for it."""
-        roomy = sum(self.usable(e) and self.has_room(e, completion) for e in self.writers)
+        roomy = sum(self.usable(e, completion) and self.has_room(e, completion) for e in self.writers)
         if sum(len(e.out) for e in self.pools[Role.READER]) >= PER_ROOM * roomy:
             return None
         now = self.clock.now
@@ -512,7 +515,7 @@
     def pick_mixed(self, completion: Completion) -> Engine | None:
         now, last = self.clock.now, self.last_mixed.get(completion.session)
         pool = self.pools[Role.MIXED]
-        if last and last in pool and self.usable(last) and completion.may_go_to(last, now) and (
+        if last and last in pool and self.usable(last, completion) and completion.may_go_to(last, now) and (
                 last.tokens <= MEDIANS * median(e.tokens for e in pool)):
             return last
         return self.hashed_pair(completion, Role.MIXED, lambda e: completion.may_go_to(e, now))
@@ -520,16 +523,10 @@
     def hashed_pair(self, completion: Completion, role: Role, is_open: Test) -> Engine | None:
         """Two drawn by hashing the shared beginning, else the session, in the own zone; with both closed, two
         of all. Drawn from open ones only, a session would move under load and be read anew each time. If
-        neither holds more of our tokens, the session's hash chooses, at all fronts alike. A cold engine in
-        its turn comes first: with one completion in a turn, the hash would lead elsewhere. Could harm by a
-        read without the kept beginning."""
-        seeds = (1, 2) if blake2b(completion.session.encode()).digest()[0] % 2 else (2, 1)
-        for near, ring in zip((True, False), self.rings[role], strict=True):
-            turned = next((e for e in self.pools[role] if self.cold(e) and (not near or e.zone == self.zone)
-                           and self.usable(e) and is_open(e) and self.has_room(e, completion)), None)
-            if turned:
-                return turned
-            drawn = [ring.draw(f"{seed}:{completion.key}", self.usable) for seed in seeds]
+        neither holds more of our tokens it is the first, at all fronts alike: one engine keeps the text."""
+        usable = partial(self.usable, completion=completion)
+        for ring in self.rings[role]:
+            drawn = [ring.draw(f"{seed}:{completion.key}", usable) for seed in (1, 2)]
             able = [e for e in drawn if e and is_open(e)]
             if able:
                 return min(able, key=lambda e: e.tokens)
@@ -547,10 +544,9 @@
             MEMORY_USED - load.get("memory", 0.0)) * engine.kind.memory
 
     def write(self, completion: Completion, reader: Engine, now: float) -> bool:  # two near the reader
-        able = [e for e in self.writers if self.usable(e) and completion.may_go_to(e, now)]
+        able = [e for e in self.writers if self.usable(e, completion) and completion.may_go_to(e, now)]
         near = [e for e in able if e.zone == reader.zone]
-        turned = [e for e in near if self.cold(e)]
-        pools = turned, [e for e in near if e.cell == reader.cell], near, able
+        pools = [e for e in near if e.cell == reader.cell], near, able
         waited = now - completion.held_since >= self.hold
         fit = next(filter(None, ([e for e in pool if self.has_room(e, completion)] for pool in pools)), [])
         if waited and not fit:  # a state may not be held on
@@ -565,23 +561,21 @@
     def cold(self, engine: Engine) -> bool:
         return engine.started != 0.0 and self.clock.now - engine.started < self.warm_after
 
-    def usable(self, engine: Engine) -> bool:
+    def usable(self, engine: Engine, completion: Completion) -> bool:
         free = not engine.trickle or len(engine.unanswered) < engine.trickle
-        return free and (not self.cold(engine) or self.has_turn(engine))
-
-    def has_turn(self, engine: Engine) -> bool:
-        """Guards against all fronts finding an empty, slow engine at once: of what a warm engine of its role
-        answers to this front, a part may go to a cold one, so that all fronts' parts add up to the budget.
-        Where that is less than one send a turn, turns with one are dealt out evenly over the fronts, by their
-        numbers, and last as long as the rule's window. Could harm by using too little of it."""
-        now, share = self.clock.now, self.cold_part(engine.kind.role)
-        length = self.cold_window / TURNS
-        if share * length < 1.0:
-            length = self.cold_window
-        turn, passed = divmod((now - engine.started) / length + self.number * GOLDEN % 1.0, 1.0)
-        even = ((self.number + engine.number) % self.fronts / self.fronts + turn * GOLDEN) % 1.0
-        ours = sum(sent >= now - passed * length for sent in engine.cold_sends)
-        return ours < int(share * length + even)
+        return free and (not self.cold(engine) or self.takes(engine, completion))
+
+    def takes(self, engine: Engine, completion: Completion) -> bool:
+        """Guards against all fronts finding an empty, slow engine at once: of what leads to a cold one each
+        front lets in the same part, by a hash that changes with the rule's window, so that all parts add up
+        to its budget, and the engine reads the texts that stay with it. A front alone that sends much keeps
+        to its part of what warm ones answer to it. Could harm by a text that very many ask for at once."""
+        window = int(self.clock.now / self.cold_window)
+        drawn = int.from_bytes(blake2b(
+            f"{engine.number}:{window}:{completion.session}".encode(), digest_size=2).digest()) / 65536
+        ours = sum(sent >= self.clock.now - self.cold_window for sent in engine.cold_sends)
+        part = self.cold_share * min(1.0, (self.heard + 1) / (self.read + 1))
+        return drawn < part and ours < max(1.0, self.cold_part(engine.kind.role) * self.cold_window)
 
     def cold_part(self, role: Role) -> float:
         """Sends a second of this front to one cold engine of the role; worked out once for all that ask."""
@@ -608,6 +602,7 @@
         if dispatch.local:
             engine.keep(completion)
             remember(self.last_mixed, completion.session, engine)
+        self.read += reading or dispatch.local
         completion.dispatches.append(dispatch)
         completion.out = dispatch
         engine.out.append(dispatch)
