Tests: states that wait do so by settings that let cold writers nothing in

Instance takes the rule's multiple now, and both tests set it to 0, so that no cold writer lets anything in. 136 tests of core and choice pass.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -192,11 +192,11 @@
 class Instance:
     """A core on a loop whose time is told, with a link that records."""
 
-    def __init__(self, effect: Effect = Effect.IDEMPOTENT) -> None:
+    def __init__(self, effect: Effect = Effect.IDEMPOTENT, cold_multiple: float = 2.5) -> None:
         self.loop, self.link = StepLoop(), RecordingLink()
         self.core = Core(
             self.loop, self.link, "f", 1, KINDS, [Workload(1.0, 0.0, 0.05, effect, Group.ALL, 2.0, 1.0)],
-            0, 1, 0, 6, 0.3, True, 2.0, 10.0, 0.3, 2.5, 2.0, answer_margin=0.1, stream_limit=5.0)
+            0, 1, 0, 6, 0.3, True, 2.0, 10.0, 0.3, cold_multiple, 2.0, answer_margin=0.1, stream_limit=5.0)
 
     def engines(
         self, *rows: tuple[int, int], health: Health = Health.ON, started: float = 0.0
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -92,11 +92,11 @@
 
 @pytest.mark.parametrize("when", ["reading", "between", "writing", "streaming"])
 def test_a_client_that_leaves_frees_all_that_is_held(instance: New, when: str) -> None:
-    i = instance()
+    i = instance(cold_multiple=0.0)
     i.engines(*FLEET)
     client, taken = i.take()
     if when == "between":
-        i.engines((12, 1), (13, 1), started=i.loop.now)  # cold, and not our turn: the state waits
+        i.engines((12, 1), (13, 1), started=i.loop.now)  # cold, and none may be sent there: the state waits
     if when != "reading":
         i.read()
     if when == "streaming":
@@ -207,8 +207,8 @@
         """A link that does not tell of the end at once."""
 
 
-def named(new: New) -> tuple[Instance, Any]:
-    i = new()
+def named(new: New, **more: Any) -> tuple[Instance, Any]:
+    i = new(**more)
     i.engines(*FLEET)
     taken = i.core.take(Client(), 0, 0, "s", "", 5000, 0, 100, 4.0, "body", name="c0")
     i.loop.turn()
@@ -245,7 +245,7 @@
 
 
 def test_under_one_name_a_release_spares_a_state_that_waits_for_a_writer(instance: New) -> None:
-    i, _ = named(instance)
+    i, _ = named(instance, cold_multiple=0.0)  # so that cold writers let nothing in
     i.link.out[-1].events.ended(Verdict.BROKEN, 0, {}, {})
     i.loop.turn()
     i.engines((12, 1), (13, 1), started=i.loop.now)
