A new process asks the agent for the list before it says ready

Seen by reading: Node.start began the watch, listened and said ready in one go, so the first completions were decided on `known`, which may be old, while what the agent has counts as told from a process's first moment. At fault: Node.start alone. Now the first whole list is waited for, 0.5 s at most; with the agent silent the node starts on what it knew, and says so. Two tests fail without it.

--- a/heathford/fleet/watch.py
+++ b/heathford/fleet/watch.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import AsyncGenerator, Callable
-from contextlib import aclosing
+from contextlib import aclosing, suppress
 
 import structlog
 
@@ -25,6 +25,7 @@
     ) -> None:
         self.address, self.port, self.instances, self.changed = address, port, instances, changed
         self.following: asyncio.Task[None] | None = None
+        self.heard = asyncio.Event()  # a whole answer to a list call was taken
 
     def start(self) -> None:
         self.following = asyncio.get_running_loop().create_task(self.run())
@@ -60,6 +61,13 @@
 
     async def list_all(self) -> None:
         self.told(b"".join([part async for part in self.get(PATH, ANSWER)]))
+        self.heard.set()
+
+    async def first(self, within: float) -> bool:
+        """Waits for the first whole list, that many s at most; whether it is there."""
+        with suppress(TimeoutError):
+            await asyncio.wait_for(self.heard.wait(), within)
+        return self.heard.is_set()
 
     async def follow(self) -> None:
         lines = Lines(LONGEST)
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -29,6 +29,8 @@
 STILL_ASKED = 0.6  # s after SIGTERM for which clients may still come
 TIDY = 8  # sweeps between two full collections of garbage, 2 s: completions and their dispatches point to
 # each other, and left to its own pace the collector let ten times as many pile up; one takes about 3 ms
+FIRST_LIST = 0.5  # s that the agent may take for its first list: it answers at once, or is silent while
+# discovery is down. Two calls and more fit in; a start may take 10 s
 TELL = 5.0  # s between two lines on what this front believes
 
 log = structlog.get_logger()
@@ -74,6 +76,11 @@
             except NonsenseError as problem:
                 log.error("the engines known from before can't be read", why=str(problem))
         self.watch.start()
+        # Guards against first dispatches to engines that drain, or are gone: what the agent has counts as
+        # told from a process's first moment, what is known from before may be old. Costs the wait where the
+        # agent is silent: then that list is all there is.
+        if not await self.watch.first(FIRST_LIST):
+            log.warning("no list yet", known=len(self.instances.rows))
         try:
             sock = socket.create_server(self.listen, backlog=BACKLOG)
         except OSError as problem:
--- a/heathford/standin/platform.py
+++ b/heathford/standin/platform.py
@@ -152,12 +152,14 @@
         self.watching: dict[asyncio.StreamWriter, None] = {}
         self.watched = asyncio.Condition()
         self.silent = False
+        self.unanswered = 0  # so many calls next get no answer
 
     def told(self, complete: bool, rows: list[dict[str, Any]]) -> bytes:
         return orjson.dumps({"rev": self.version, "all": complete, "targets": rows})
 
     async def answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
-        if self.silent:
+        if self.silent or self.unanswered:
+            self.unanswered -= bool(self.unanswered)
             await asyncio.Event().wait()
         rows = self.told(True, [e.row for e in self.engines])
         if "follow=1" not in request.target:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -75,7 +75,10 @@
         self.clients: list[Client] = []
         self.said: list[dict[str, Any]] = []
 
-    async def start(self, sockets: int = 256, **limits: Any) -> None:
+    async def start(
+        self, sockets: int = 256, before: Callable[["Node"], None] | None = None, **limits: Any
+    ) -> None:
+        """before: called once what the front knows from before is written, and before it starts."""
         for engine in self.engines:
             await engine.open()
         await self.agent.open()
@@ -85,6 +88,8 @@
             "known": orjson.loads(self.agent.told(True, [e.row for e in self.engines]))}
         self.path = self.folder / "config.json"
         self.path.write_bytes(orjson.dumps(self.config))
+        if before:
+            before(self)
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "heathford", "--log", "json", "platform",
             cwd=Path(__file__).parent.parent, stderr=asyncio.subprocess.PIPE,
@@ -92,7 +97,8 @@
                  "NODE_DISCOVERY": self.agent.address, "NODE_CONFIG": str(self.path)})
         ready = await self.until("ready")
         self.port = int(ready["listen"].rpartition(":")[2])
-        await self.agent.until_watched()
+        if not before:
+            await self.agent.until_watched()
 
     async def until(self, event: str) -> dict[str, Any]:
         """Until it has logged that."""
@@ -394,6 +400,29 @@
     play(tmp_path, [a, b, other], day)
 
 
+def test_a_new_process_asks_for_the_list_before_it_is_ready(tmp_path: Path) -> None:
+    """What the agent has counts as told from the first moment: what is known from before may be old. The
+    first call gets no answer, as one made while discovery is down; the list comes with the second."""
+    a, b, other = reader(), writer(), writer(uid="w2")
+
+    def drained_meanwhile(node: Node) -> None:
+        b.state, other.state, node.agent.unanswered = "DRAINING", "SERVING", 1
+
+    async def day(node: Node) -> None:
+        assert await node.ask("c0") == (200, ALL, True)
+        assert not b.asked and ("POST", "c0") in other.asked
+    other.state = "DRAINING"
+    play(tmp_path, [a, b, other], day, before=drained_meanwhile)
+
+
+def test_with_a_silent_agent_a_process_starts_on_what_it_knew(tmp_path: Path) -> None:
+    async def day(node: Node) -> None:
+        assert node.said[-1]["event"] == "ready" and node.said[-2]["event"] == "state"
+        assert {"no list yet"} < {line["event"] for line in node.said}
+        assert await node.ask("c0") == (200, ALL, True)
+    play(tmp_path, [reader(), writer()], day, before=lambda node: setattr(node.agent, "silent", True))
+
+
 def test_what_discovery_has_after_a_silence_is_heard_within_the_shortest_grace(tmp_path: Path) -> None:
     """Seen on a fleet whose discovery was down for 8 s: the list call made meanwhile was never answered and
     waited for 5 s, while what the agent had counted as told and engines drained."""
