A reader that did not answer in time rests as a slow one does

At fault: Completion.ended, TIMED_OUT alone. Change: it rests for the time that it took, under the conditions of a failure (client with time enough, none answered since).

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -301,6 +301,8 @@
                 verdict is not Verdict.TIMED_OUT or (self.counts and engine.answered < dispatch.sent)):
             # A time-out of one with less time than its target, or where others were answered, is no failure.
             engine.went_badly(FAILURES[verdict], dispatch.sent, now)
+            if verdict is Verdict.TIMED_OUT:  # as slow as that at least: its queue needs as long
+                engine.rest(None, dispatch.sent, now, latency)
         if self.over:
             self.let_go()
         else:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -182,6 +182,24 @@
     assert b.patience == pytest.approx(1.2, abs=0.1)
 
 
+@pytest.mark.parametrize("verdict, rests", [(Verdict.TIMED_OUT, True), (Verdict.ERROR, False)])
+def test_a_reader_that_did_not_answer_in_time_rests_as_a_slow_one_does(
+    bench: New, verdict: Verdict, rests: bool
+) -> None:
+    """A slow answer rested its reader, and none at all did not: one alone is no failure."""
+    b = bench()
+    b.engines((10, 0), (11, 0), (12, 1))
+    c = b.take(session="s", shared="a")
+    [(_, slow)] = b.asked()
+    b.end(c, verdict, after=1.0)
+    until, _ = b.router.engines[slow].rests.get(None, (b.now, 0.0))
+    assert until - b.now == pytest.approx(1.0 if rests else 0.0)
+    b.end(c, Verdict.READ, after=0.1)
+    b.asked()
+    b.take(session="t", shared="a")
+    assert rests <= (b.asked() != [("send", slow)])
+
+
 @pytest.mark.parametrize("each, sends", [(0.01, 3), (0.25, 1)])
 def test_a_state_is_let_go_once_a_writer_out_of_reach_has_taken_much_of_the_pin_limit(
     bench: New, each: float, sends: int
@@ -547,6 +565,7 @@
     b = bench()
     b.engines((12, 1), (14, 2))
     for _ in range(2):
+        b.now += 4.0  # past its rest
         c = b.take(1000, due=b.now + left)
         b.end(c, Verdict.TIMED_OUT, after=left)
         b.asked()
