What may be repeated is waited for two latency targets, not one

At fault: one target as the bound in Router.send: a read whose turn comes at its edge is given up, leaves nothing kept and is read anew.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -64,6 +64,8 @@
 TICK = 0.05  # s between two looks at what waits: small beside any latency target
 HOLD = 0.4  # share of the pin limit for which a state waits for a writer with room
 TRY_SHARE = 0.5  # share of the time left that a dispatch which may be repeated may take: leaves one more
+WAITS = 2.0  # latency targets for which what may be repeated is waited for: at the edge of a target most of a
+# full queue is still being read; twice as long, and a busy engine is told from a silent one
 READS = 2.0  # times its predicted reading that a completion needs before its target: to read and to write
 LAST_CALL = 0.15  # s before the client timeout at which what waits is given up: a short read's time
 RETRY_AFTER = 0.5  # s that a rate-limited client, or we after a failed call for the list, should stay away
@@ -618,5 +620,5 @@
             # and a client timeout is several. Where few reads are answered it is their queues: reads given up
             # in them leave nothing kept and are read anew elsewhere, so they are waited for as much longer.
             # Could harm where many engines fall silent at once.
-            patience = min(patience, completion.target * max(1.0, self.read / (self.heard + 1)))
+            patience = min(patience, WAITS * completion.target * (self.read + 1) / (self.heard + 1))
         completion.door.send(engine.number, patience)
