What is turned away before any dispatch does not keep a jam up

At fault: Router.take counts all that is asked; in a jam Completion.give_up turns away what the slow fit calls late, that counts as missed, and the jam stays: a test with an answered read each time it is let in stays at none let in for 25 s. Change: what is given up with no dispatch is taken out of what was asked.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -351,6 +351,8 @@
             self.may_go_to(e, now) for e in (router.writers if read else router.pools[Role.MIXED]))
 
     def give_up(self) -> None:
+        if not self.dispatches:  # turned away, it says nothing of what engines can do
+            self.router.asked = max(0.0, self.router.asked - self.counts)
         self.let_go()
         self.over = True
         known = self.workload.effect is Effect.TOKENED and self.workload.group is Group.ALL
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -558,6 +558,26 @@
     assert asked == [("rate_limit",), ("send", 10)]
 
 
+def test_what_is_turned_away_does_not_keep_a_jam_up(bench: New) -> None:
+    """Seen on a fleet: ten seconds after engines were replaced their reads took 0.15 s, and a third was still
+    turned away, for what was turned away counted as asked and not answered in time."""
+    b = bench()
+    b.engines((10, 0), (11, 0), (12, 1), (13, 1))
+    for _ in range(60):
+        b.router.read_fit.add(read_features(5000), 2.0, b.now)
+    b.router.asked, b.router.counted_at = 20.0, b.now
+    sent = []
+    for n in range(100):
+        b.now += 0.25
+        c = b.take(session=str(n))
+        sent.append(bool(c.dispatches))
+        if c.dispatches:
+            b.end(c, Verdict.READ, after=0.05)
+            b.first(c, after=0.05)
+            b.end(c, Verdict.FINISHED, after=0.05, closed=True)
+    assert not any(sent[:10]) and all(sent[-20:])
+
+
 @pytest.mark.parametrize("left, counts", [(0.6, False), (3.0, True)])
 def test_a_client_with_little_time_left_says_nothing_of_an_engine(
     bench: New, left: float, counts: bool
