--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -454,6 +454,38 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("unanswered", [0, 2])
+def test_a_watch_that_has_fallen_silent_is_begun_anew(
+    monkeypatch: pytest.MonkeyPatch, unanswered: int
+) -> None:
+    """What it misses counts as told all the same. Also where the first calls after it get no answer."""
+    monkeypatch.setattr("heathford.fleet.watch.SILENCE", 0.4)  # in place of 5 s
+
+    async def run() -> None:
+        engine = writer()
+        await engine.open()
+        agent = Agent(engine)
+        await agent.open()
+        heard: list[Health] = []
+        host, _, port = agent.address.rpartition(":")
+        watch = Watch(host, int(port), Instances({"m1": (0, Role.WRITER)}, ["a", "b"]),
+                      lambda complete, rows: heard.extend(row[4] for row in rows))
+        watch.start()
+        try:
+            async with asyncio.timeout(LIMIT):
+                await agent.until_watched()
+                engine.state, agent.unanswered = "DRAINING", unanswered
+                agent.version += 1  # and the watch says nothing of it
+                while not heard or heard[-1] is not Health.DRAINING:
+                    await asyncio.sleep(0.02)
+                await agent.until_watched(2)
+        finally:
+            watch.stop()
+            agent.close()
+            engine.close()
+    asyncio.run(run())
+
+
 @pytest.mark.parametrize("variables, why", [
     ({}, "not told by the platform: NODE_NAME"), ({"NODE_LISTEN": "here"}, "NODE_LISTEN is no HOST:PORT"),
     ({"NODE_CONFIG": "nowhere.json"}, "the configuration can't be read"),
