Only what is turned away as late is taken out of what counts towards a jam

At fault: give_up counted out also what take had turned away by chance, which is how a jam is held. What the slow fit calls late is still taken out.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -351,7 +351,7 @@
             self.may_go_to(e, now) for e in (router.writers if read else router.pools[Role.MIXED]))
 
     def give_up(self) -> None:
-        if not self.dispatches:  # turned away, it says nothing of what engines can do
+        if not self.dispatches and self.late_at > -inf:  # a guess of ours says nothing of what engines can do
             self.router.asked = max(0.0, self.router.asked - self.counts)
         self.let_go()
         self.over = True
@@ -444,7 +444,7 @@
         self.asked, self.good = self.asked * kept + completion.counts, self.good * kept
         self.read, self.heard = self.read * kept, self.heard * kept
         if self.random.random() * self.asked > ADMIT * self.good + DOUBT:
-            completion.late_at = now
+            completion.late_at = -inf
         self.waiting.append(completion)
         return completion
 
