--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,8 @@
 from heathford.core.doors import CallEvents, Endpoint
 from heathford.interface import Effect, Group, Health, Kind, Role, Verdict, Workload
 
+pytest_plugins = ["pytester", "known_red"]
+
 KINDS = [Kind(Role.READER, 200_000), Kind(Role.WRITER, 150_000), Kind(Role.MIXED, 200_000)]
 
 
