--- /dev/null
+++ b/heathford/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's endpoint list: the calls that keep it current, and their clock."""
--- /dev/null
+++ b/heathford/discovery/client.py
@@ -0,0 +1,142 @@
+"""Carries the calls of a DiscoveryFollower over TCP, to an address that may change while it runs."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import structlog
+
+from heathford.discovery.follower import Call, DiscoveryFollower, ListChange
+from heathford.fleet.instances import Instances
+from heathford.wire.http1 import request
+
+LOGGED_FAILURES = 3  # in a row: while discovery is down the same line would come several times a second
+
+log = structlog.get_logger()
+
+
+class CallProtocol(asyncio.Protocol):
+    """The connection of one call."""
+
+    def __init__(self, client: "DiscoveryClient", call: Call) -> None:
+        self.client = client
+        self.call = call
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Send the call, unless it has been given up meanwhile."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        if self.client.protocol is not self:
+            transport.abort()
+            return
+        headers = {"Accept": "application/json"}
+        transport.write(request("GET", self.call.path, self.client.address, headers, b""))
+
+    def data_received(self, data: bytes) -> None:
+        """Hand the bytes on."""
+        now = self.client.loop.time()
+        self.client.follower.received(self.call, data, time.time(), now)
+        self.client.follow()
+
+    def connection_lost(self, problem: Exception | None) -> None:
+        """Tell that the call has ended."""
+        reason = f"connection lost: {problem!r}" if problem else "closed by discovery"
+        self.client.follower.ended(self.call, reason, self.client.loop.time())
+        self.client.follow()
+
+
+class DiscoveryClient:
+    """Follows discovery until it is stopped; `changed` gets every change of the list, in order."""
+
+    def __init__(
+        self, address: str, port: int, endpoints: Instances, changed: Callable[[ListChange], None]
+    ) -> None:
+        self.address, self.port = address, port
+        self.endpoints = endpoints
+        self.loop = asyncio.get_running_loop()
+        self.follower = DiscoveryFollower(endpoints, self.tell(changed))
+        self.first_list = asyncio.Event()
+        self.protocol: CallProtocol | None = None  # of the call that is open
+        self.connecting: asyncio.Task[None] | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.failures_seen = 0
+
+    def start(self) -> None:
+        """Ask for the whole list."""
+        self.follower.start(self.loop.time())
+        self.follow()
+
+    def stop(self) -> None:
+        """Close the open call and open no other."""
+        self.follower.stop()
+        self.follow()
+
+    def move(self, address: str, port: int) -> None:
+        """Follow another address from now on; the open call is given up."""
+        self.address, self.port = address, port
+        self.start()
+
+    async def first(self, within: float) -> bool:
+        """Wait for the first whole list, that many seconds at most; return whether it is there."""
+        try:
+            await asyncio.wait_for(self.first_list.wait(), within)
+        except TimeoutError:
+            return False
+        return True
+
+    def tell(self, changed: Callable[[ListChange], None]) -> Callable[[ListChange], None]:
+        """Log what could not be read beside each change."""
+        def told(change: ListChange) -> None:
+            for what, why in self.endpoints.passed.items():
+                log.error("instance passed over", instance=what, why=why)
+            changed(change)
+        return told
+
+    def follow(self) -> None:
+        """Do what the follower wants now: exactly its call is open, and its clock is set."""
+        follower = self.follower
+        if follower.listed:
+            self.first_list.set()
+        self.log_failures()
+        if follower.call is not (self.protocol.call if self.protocol else None):
+            self.drop()
+            if follower.call:
+                self.open(follower.call)
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        if follower.deadline < float("inf"):
+            self.timer = self.loop.call_at(follower.deadline, self.wake)
+
+    def wake(self) -> None:
+        # A loop's timer may fire a hair early, by its clock's resolution.
+        self.follower.wake(max(self.loop.time(), self.follower.deadline))
+        self.follow()
+
+    def log_failures(self) -> None:
+        failures = self.follower.failures
+        if self.failures_seen < failures <= LOGGED_FAILURES:
+            log.warning("discovery", failed=self.follower.reason)
+        self.failures_seen = failures
+
+    def open(self, call: Call) -> None:
+        self.protocol = CallProtocol(self, call)
+        self.connecting = self.loop.create_task(self.connect(self.protocol))
+
+    async def connect(self, protocol: CallProtocol) -> None:
+        try:
+            await self.loop.create_connection(lambda: protocol, self.address, self.port)
+        except OSError as error:
+            # Refused, or no descriptor is left: either way it is tried again.
+            self.follower.ended(protocol.call, f"could not connect: {error}", self.loop.time())
+            self.follow()
+
+    def drop(self) -> None:
+        """Close the connection of the call that was open, at once."""
+        protocol, self.protocol = self.protocol, None
+        if self.connecting:
+            self.connecting.cancel()
+            self.connecting = None
+        if protocol and protocol.transport:
+            protocol.transport.abort()
--- a/heathford/fleet/instances.py
+++ b/heathford/fleet/instances.py
@@ -10,47 +10,54 @@
 from heathford.wire.http1 import json_object
 
 STATES = {"SERVING": Health.ON, "DRAINING": Health.DRAINING, "DELETED": Health.GONE}
-AGAIN = 0.05  # s before a failed call is made again: the agent is on this machine and answers at no cost
-AGAIN_MOST = 0.2  # s, doubled up to here: what the agent has counts as told at once, and the shortest drain
-# grace that deployments state is 0.5; this and ANSWER together leave room within it
-ANSWER = 0.15  # s without a byte after which a list call is made anew: the agent replies at once, or never if
-# it was asked while discovery was down
-SILENCE = 5.0  # s without a byte after which a watch is dead: an empty line comes each 2
 LONGEST = 4_194_304  # bytes of a list: thousands of engines
+MOST_GONE = 1_024  # instances remembered as gone in case discovery goes back: as many as lists have
+HEALTH_ORDER = (Health.ON, Health.DRAINING, Health.GONE)  # the later, the less may be sent there
 
 
 class Instances:
-    """The list as last told. kinds: name to place and role; zones: names to places. An entry that can't be
-    read is passed over, told by `passed`; a version older than the one held is news replayed."""
+    """The list as last told. kinds: name to place and role; zones: names to places.
+
+    An entry that can't be read is passed over, told by `passed`. A change of an older version than the one
+    held is replayed, and dropped. A whole list of an older version, given in answer to a call, says that
+    discovery has gone back, as after a restart or behind another address: it counts, but until discovery is
+    again as far as it was, no process that was drained or gone is taken to serve.
+    """
 
     def __init__(self, kinds: Mapping[str, tuple[int, Role]], zones: Sequence[str]) -> None:
         self.kinds, self.zones = kinds, {zone: place for place, zone in enumerate(zones)}
         self.version = -1
+        self.newest = -1  # the latest version seen; more than `version` while discovery has gone back
+        self.gone: dict[str, int] = {}  # starts (as told) of instances that have gone, by uid
         self.rows: dict[str, Row] = {}  # as last read, by uid
         self.started: dict[str, tuple[int, float]] = {}  # as told, and s on the front's clock
         self.passed: dict[str, str] = {}
         self.failures = 0
 
-    def told(self, body: bytes, now: float, wall: float) -> tuple[bool, list[Row]] | None:
-        """One object: whether it is complete, and its rows; None if it is old. Raises ListError."""
-        return self.told_object(json_object(body), now, wall)
+    def told(
+        self, body: bytes, now: float, wall: float, listed: bool = False
+    ) -> tuple[bool, list[Row]] | None:
+        """One object: whether it is complete, and its rows; None if it is old. listed: it answers a call for
+        the whole list. Raises ListError."""
+        return self.told_object(json_object(body), now, wall, listed)
 
     def told_object(
-        self, told: Mapping[str, Any], now: float, wall: float
+        self, told: Mapping[str, Any], now: float, wall: float, listed: bool = False
     ) -> tuple[bool, list[Row]] | None:
         version, complete, entries = told.get("rev"), told.get("all"), told.get("targets")
         if not isinstance(version, int) or not isinstance(complete, bool) or not isinstance(entries, list):
             raise ListError("an object without rev, all and targets")
-        if version < self.version:
-            # Guards against news replayed: an engine long drained must not look open again. Could harm where
-            # discovery starts over from nothing; it says so by an older list each time, and is told.
+        if listed and not complete:
+            raise ListError("changes in place of the whole list")
+        if version < self.version and not listed:
+            # Guards against news replayed: an engine long drained must not look open again.
             return None
-        self.failures = 0
         rows: list[Row] = []
-        listed: dict[str, None] = {}
+        present: dict[str, None] = {}
         nameless = False
         self.passed = {}
         for entry in entries:
+            held = self.held(entry)
             try:
                 uid, row = self.row(entry, now, wall)
             except ListError as problem:
@@ -60,7 +67,9 @@
                 if kept is None:
                     continue
                 uid, row = kept
-            listed[uid] = None
+            if version < self.newest:
+                row = self.no_healthier(uid, row, held)
+            present[uid] = None
             rows.append(row)
             self.rows[uid] = row
             if row[4] is Health.GONE:
@@ -68,11 +77,31 @@
         # Of a list with an entry that does not say whose it is, nobody can say who is missing.
         complete = complete and not nameless
         if complete:
-            for uid in [uid for uid in self.rows if uid not in listed]:
+            for uid in [uid for uid in self.rows if uid not in present]:
                 self.forget(uid)
-        self.version = version
+        self.version, self.newest = version, max(version, self.newest)
         return complete, rows
 
+    def held(self, entry: Any) -> tuple[Row, int] | None:
+        """The row of that instance as it was, and the start that was told with it."""
+        uid = entry.get("uid") if isinstance(entry, dict) else None
+        if not isinstance(uid, str) or uid not in self.rows:
+            return None
+        return self.rows[uid], self.started[uid][0]
+
+    def no_healthier(self, uid: str, row: Row, held: tuple[Row, int] | None) -> Row:
+        """Guards against an older list that names an engine as serving after its drain or end was told:
+        nothing new may go there. Could harm where a drain was taken back while discovery was restored."""
+        boot, health = self.started[uid][0], row[4]
+        if held and boot < held[1]:
+            self.started[uid] = held[1], held[0][6]
+            return held[0]
+        if held and boot == held[1]:
+            health = max(health, held[0][4], key=HEALTH_ORDER.index)
+        elif not held and boot <= self.gone.get(uid, -1):
+            health = Health.GONE
+        return (*row[:4], health, *row[5:])
+
     def kept(self, entry: Any) -> tuple[str, Row] | None:
         """Guards against an entry that can't be read any more: the instance stays as it was, but for a state
         that can be read, as its drain has to be kept. Could harm where what can't be read is its address."""
@@ -90,7 +119,11 @@
 
     def forget(self, uid: str) -> None:
         self.rows.pop(uid, None)
-        self.started.pop(uid, None)
+        boot, _ = self.started.pop(uid, (0, 0.0))
+        self.gone.pop(uid, None)
+        self.gone[uid] = boot
+        if len(self.gone) > MOST_GONE:
+            del self.gone[next(iter(self.gone))]
 
     def row(self, entry: Any, now: float, wall: float) -> tuple[str, Row]:
         try:
@@ -116,8 +149,3 @@
             started = (now - max(wall - boot / 1000, 0.0) or 1e-6) if boot else 0.0
             self.started[uid] = boot, started
         return uid, (endpoint, zone, place, group, health, size, started)
-
-    def failed(self) -> float:
-        """s until discovery is asked again: doubled for each failure in a row."""
-        self.failures += 1
-        return float(min(AGAIN * 2 ** min(self.failures - 1, 8), AGAIN_MOST))
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -14,8 +14,9 @@
 
 from heathford.bootinfo import NS, figures_of
 from heathford.core.core import Core
+from heathford.discovery.client import DiscoveryClient
+from heathford.discovery.follower import ListChange
 from heathford.fleet.instances import Instances
-from heathford.fleet.watch import Watch
 from heathford.platform.door import SWEEP, Door
 from heathford.platform.link import PlatformLink
 from heathford.platform.start import StartError, address_of, from_environment, seed_of, told
@@ -60,7 +61,7 @@
         self.door = Door(
             self.core, {c["name"]: place for place, c in enumerate(settings["categories"])},
             int(CLIENT_PART * sockets))
-        self.watch = Watch(*discovery, self.instances, self.core.list_changed)
+        self.watch = DiscoveryClient(*discovery, self.instances, self.list_changed)
         self.ending = asyncio.Event()
         self.known = told.get("known")
         self.server: asyncio.Server | None = None
@@ -93,6 +94,9 @@
         self.sweep()
         self.tell()
 
+    def list_changed(self, change: ListChange) -> None:
+        self.core.list_changed(change.complete, change.rows)
+
     def sweep(self, due: float = 0.0) -> None:
         now = self.loop.time()
         self.lag = max(self.lag, now - due if due else 0.0)
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -7,7 +7,7 @@
 
 from heathford.engines.pools import Pools
 from heathford.fleet.follow import Lines, ListError
-from heathford.fleet.instances import AGAIN_MOST, LONGEST, Instances
+from heathford.fleet.instances import LONGEST, Instances
 from heathford.interface import Health, Role
 
 KINDS = {"m0": (0, Role.READER), "m1": (1, Role.WRITER)}
@@ -118,12 +118,6 @@
     assert list(instances.rows) == ["last"] and list(instances.started) == ["last"]
 
 
-def test_discovery_that_is_down_is_asked_again_within_a_second() -> None:
-    instances = Instances(KINDS, ["a"])
-    waits = [instances.failed() for _ in range(40)]
-    assert waits == sorted(waits) and waits[0] < 0.1 and waits[-1] == AGAIN_MOST < 1.0
-
-
 class Line:
     def __init__(self, pools: "Pools[Line]", port: int) -> None:
         self.pools, self.pool, self.shut = pools, pools.pool("h", port), False
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -13,8 +13,8 @@
 import orjson
 import pytest
 
+from heathford.discovery.client import DiscoveryClient
 from heathford.fleet.instances import Instances
-from heathford.fleet.watch import Watch
 from heathford.interface import Health, Role
 from heathford.standin.platform import EVENTS, GOOD, Agent, ScriptedEngine, settings
 
@@ -434,8 +434,8 @@
     await agent.open()
     heard: list[Health] = []
     host, _, port = agent.address.rpartition(":")
-    watch = Watch(host, int(port), Instances({"m1": (0, Role.WRITER)}, ["a", "b"]),
-                  lambda complete, rows: heard.extend(row[4] for row in rows))
+    watch = DiscoveryClient(host, int(port), Instances({"m1": (0, Role.WRITER)}, ["a", "b"]),
+                            lambda change: heard.extend(row[4] for row in change.rows))
     watch.start()
     try:
         async with asyncio.timeout(LIMIT):
@@ -468,7 +468,7 @@
     monkeypatch: pytest.MonkeyPatch, unanswered: int
 ) -> None:
     """What it misses counts as told all the same. Also where the first calls after it get no answer."""
-    monkeypatch.setattr("heathford.fleet.watch.SILENCE", 0.4)  # in place of 5 s
+    monkeypatch.setattr("heathford.discovery.follower.WATCH_SILENCE", 0.4)  # in place of 3 s
 
     async def run() -> None:
         async with watched() as (engine, agent, heard):
