A client's close is seen whatever it sent, and nothing is begun after it

Also: a dispatch that waited for its connection or a release began after the close where running ones may not be cancelled (core.py, leave()); a turn of the core that was due came before connection_lost; an idle connection was closed at once, so a request that crossed the close was met by a reset; a request that waited behind another got its whole time anew.

A connection is ended by shutting our side, reading on for a second, then closing; what is read then is dropped. The time of a request counts from its last byte.

Descriptors: parts are worked out from the limit with a reserve for discovery, listening, the loop and what is accepted but not counted (Descriptors); 0.5 and 0.4 of them left 25 of 256, and up to 32 connections stood uncounted. New connections over all of these are closed unread (503 before, which held them).

--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -139,6 +139,10 @@
             return
         if self.out and self.out.streaming:
             self.stop(self.out)
+        elif self.out and self.out.call:
+            # Guards against a dispatch that begins once its client has gone: it may still wait for its
+            # connection, or for a release. Also where running ones may not be cancelled. Harms nothing.
+            self.out.call.withdraw()
         self.core.tell(self, lambda handle: handle.left())
 
     # What the core owns.
--- a/heathford/core/doors.py
+++ b/heathford/core/doors.py
@@ -39,6 +39,9 @@
     def cancel(self) -> None:
         """Ends it with CANCELLED, unless it has ended."""
 
+    def withdraw(self) -> None:
+        """Ends it with UNSENT, unless something of it may have left or it has ended."""
+
 
 class CallEvents(Protocol):
     """What a link tells of one dispatch: any number of tokens, then ended, once, and nothing after it."""
--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -146,6 +146,10 @@
     def cancel(self) -> None:
         self.end(Verdict.CANCELLED)
 
+    def withdraw(self) -> None:
+        if self.stream is None:
+            self.end(Verdict.UNSENT)
+
     def end(self, verdict: Verdict, detail: int = 0, answer: Mapping[str, Any] | None = None,
             keep: bool = False) -> None:
         if self.over:
--- a/heathford/platform/door.py
+++ b/heathford/platform/door.py
@@ -12,18 +12,19 @@
 
 from heathford.core.core import Core, Taken
 from heathford.platform.asking import ask
+from heathford.wire.request_reader import ReadAhead, Received, RequestReader, Unreadable
 from heathford.wire.requests import RefusedError, Request
 
 LONGEST_HEAD = 16_384  # bytes: clients' heads have a few hundred
 LONGEST_BODY = 262_144  # bytes: what the protocol allows
-AHEAD = 65_536  # bytes read of what follows a request that is open; more waits in the socket
 UNSENT = 1_048_576  # bytes not yet taken by a client that reads slowly, after which it has left
 FIRST = 2.0  # s for a connection's first byte: silent ones are owed a close within 3
 IDLE = 30.0  # s that a connection is kept between requests: clients come back within seconds or not at all
 SAYS = 0.5  # s within which a client that connects begins to ask
 WRITES = 2.6  # s from connecting for a first request that has begun: it is still coming, slowly
 SWEEP = 0.25  # s between two looks at what idles: small beside FIRST
-LAST_WORDS = 1.0  # s for which a refused client's bytes are still read, so that it can read why
+LINGER = 1.0  # s for which a connection that we have shut is still read: closed over unread bytes it would be
+# reset, and what the client has not read yet would be lost
 
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 408: "Request Timeout",
@@ -54,24 +55,30 @@
         self.stopping = False
         self.refused: Counter[int] = Counter()  # by status: what was never taken
         self.turned_out = 0  # connections closed to make room
+        self.ahead = ReadAhead()
 
     def connection(self) -> "ClientConnection":
         return ClientConnection(self)
 
     def opened(self, client: "ClientConnection") -> None:
         if len(self.clients) >= self.most and not self.make_room():
-            client.answer(whole(503, "too many connections", True), False)
-        self.clients[client] = None
+            self.turned_out += 1
+            client.drop()  # unread: an answer would need the descriptor until its client has read it
+        else:
+            self.clients[client] = None
 
     def make_room(self) -> bool:
         """Guards against clients that connect by the hundreds and say nothing: those without an open request
-        make way. First who connected and said nothing for longer than a client that wants something does,
-        then who was answered and stays, who is slow to ask, and only then who has just come. Could harm a
-        client whose connection is closed as it asks; it asks again on a new one."""
+        make way. First whose connection we have shut, then who connected and said nothing for longer than a
+        client that wants something does, who was answered and stays, who is slow to ask, and only then who
+        has just come. Could harm a client whose connection is closed as it asks; it asks again on a new one.
+        """
         now = self.loop.time()
 
         def rank(client: ClientConnection) -> tuple[int, float]:
-            if client.request.begun:
+            if client.closing and client.flushed:
+                return -1, client.since
+            if client.reader.begun:
                 return 2, client.since
             if client.served:
                 return 1, client.since
@@ -88,10 +95,10 @@
             if client.taken is not None:
                 continue
             if client.closing:
-                if now - client.since >= LAST_WORDS:
+                if now - client.since >= (LINGER if client.flushed else IDLE):
                     client.drop()
-            elif client.request.begun or not client.served:
-                if now - client.since >= (WRITES if client.request.begun else FIRST):
+            elif client.reader.begun or not client.served:
+                if now - client.since >= (WRITES if client.reader.begun else FIRST):
                     self.refused[408] += 1
                     client.answer(whole(408, "no whole request in time", True), False)
             elif now - client.since >= IDLE:
@@ -99,7 +106,7 @@
 
     def close_idle(self) -> None:
         for client in list(self.clients):
-            if client.taken is None and not client.request.begun and not client.closing:
+            if client.taken is None and not client.reader.pending and not client.closing:
                 client.finish()
 
 
@@ -109,10 +116,10 @@
     def __init__(self, door: Door) -> None:
         self.door = door
         self.transport: asyncio.Transport | None = None
-        self.request = Request(LONGEST_HEAD, LONGEST_BODY)
+        self.reader = RequestReader(LONGEST_HEAD, LONGEST_BODY, door.ahead)
         self.taken: Taken | None = None
         self.name = ""  # of the completion that is open
-        self.ahead = bytearray()  # what came behind the request that is open
+        self.keep = True  # the client goes on after the request in hand
         self.since = door.loop.time()  # when it connected, was last answered, or began to ask
         self.served = 0  # answers given
         self.begun = False  # the head of the answer has gone out
@@ -128,21 +135,24 @@
     def data_received(self, data: bytes) -> None:
         if self.closing:
             return
-        if self.taken is not None:
-            self.ahead += data
-            if len(self.ahead) > AHEAD and self.transport:
-                self.transport.pause_reading()
-            return
-        if self.served and not self.request.begun:
+        if self.served and not self.reader.pending and self.taken is None:
             self.since = self.door.loop.time()
-        self.read(data)
+        self.reader.feed(data, self.door.loop.time())
+        self.advance()
+
+    def eof_received(self) -> None:
+        """Guards against attempts that begin after the client has gone: a turn of the core that is due comes
+        before connection_lost. Could harm a client that shuts its sending side and still waits; what the
+        protocol says of clients that close leaves no way to tell them apart."""
+        self.leave()
 
     def connection_lost(self, problem: Exception | None) -> None:
         self.door.clients.pop(self, None)
-        self.closing = True
         self.leave()
 
     def leave(self) -> None:
+        self.closing = True
+        self.reader.close()
         taken = self.taken
         if taken is not None:
             self.forget()
@@ -150,42 +160,46 @@
 
     # Requests.
 
-    def read(self, data: bytes) -> None:
-        door, request = self.door, self.request
+    def advance(self) -> None:
+        """Handle the next request that is whole, unless one is in hand; its answer calls this again."""
+        if self.closing or self.taken is not None:
+            return
+        found = self.reader.take()
+        if isinstance(found, Received):
+            self.handle(found)
+        elif isinstance(found, Unreadable):
+            self.refuse(found.error, False)
+        elif self.reader.awaits_continue:
+            self.reader.continued()
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def handle(self, received: Received) -> None:
+        door, request = self.door, received.request
+        self.keep = request.keep
+        if request.target.partition("?")[0] == "/health/ready" and request.method == "GET":
+            status, text = (503, "not ready") if door.stopping else (200, "ready")
+            self.answer(whole(status, text, door.stopping), request.keep)
+            return
         try:
-            request.feed(data)
-            if not request.done:
-                if request.waits:
-                    request.waits = False
-                    self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-                return
-            if request.target.partition("?")[0] == "/health/ready" and request.method == "GET":
-                status, text = (503, "not ready") if door.stopping else (200, "ready")
-                self.answer(whole(status, text, door.stopping), request.keep)
-                return
-            self.begun = False
-            self.taken = ask(door.core, self, request, door.workloads, door.open, door.loop.time())
-            self.name = request.headers["x-call-id"]
-            request.body = bytearray()  # the core has it
-            door.open[self.name] = self.taken
+            if not received.kept:
+                raise RefusedError(503, "too many requests at once")
+            self.take(request, received.at)
         except RefusedError as problem:
-            door.refused[problem.status] += 1
-            # What was whole but made no sense leaves the connection in order; anything else does not.
-            keep = request.done and request.keep
-            self.answer(whole(problem.status, str(problem), not keep), keep)
-
-    def next(self) -> None:
-        """The connection is between requests again."""
-        rest, self.ahead = self.request.rest + bytes(self.ahead), bytearray()
-        self.request = Request(LONGEST_HEAD, LONGEST_BODY)
-        if self.transport and not self.transport.is_closing():
-            self.transport.resume_reading()
-        if rest:
-            self.door.loop.call_soon(self.read_on, rest)
-
-    def read_on(self, rest: bytes) -> None:
-        if not self.closing and self.taken is None:
-            self.read(rest)
+            self.refuse(problem, request.keep)
+
+    def take(self, request: Request, at: float) -> None:
+        """Hand the request to the core. Raises RefusedError: before the core has seen any of it."""
+        door = self.door
+        self.begun = False
+        self.taken = ask(door.core, self, request, door.workloads, door.open, at)
+        self.name = request.headers["x-call-id"]
+        request.body = bytearray()  # the core has it
+        door.open[self.name] = self.taken
+
+    def refuse(self, problem: RefusedError, keep: bool) -> None:
+        """keep: what was whole but made no sense leaves the connection in order; anything else does not."""
+        self.door.refused[problem.status] += 1
+        self.answer(whole(problem.status, str(problem), not keep), keep)
 
     def forget(self) -> None:
         self.door.open.pop(self.name, None)
@@ -210,24 +224,29 @@
         self.served += 1
         self.since = self.door.loop.time()
         if keep and not (self.door.stopping and not self.asks_on):
-            self.next()
+            self.door.loop.call_soon(self.advance)
         else:
             self.finish()
 
     def finish(self) -> None:
-        """Closes once all is written. What still comes is read for a while: closed with bytes unread, the
-        answer would be lost on its way."""
+        """Shuts our side once all is written, and reads on until the client closes too: closed over bytes
+        that nobody has read, the connection would be reset and the answer lost on its way. What is read after
+        this is dropped; its client sends it anew on another connection."""
         self.closing = True
+        self.reader.close()
         self.since = self.door.loop.time()
         transport = self.transport
         if transport and not transport.is_closing():
-            if self.request.begun and not self.request.done:
-                transport.write_eof()
-            else:
-                transport.close()
+            transport.write_eof()
+
+    @property
+    def flushed(self) -> bool:
+        """All that was written has left."""
+        return self.transport is None or not self.transport.get_write_buffer_size()
 
     def drop(self) -> None:
         self.closing = True
+        self.reader.close()
         self.door.clients.pop(self, None)
         if self.transport:
             self.transport.abort()
@@ -244,11 +263,11 @@
     @property
     def asks_on(self) -> bool:
         """More has come behind the request in hand. It was taken by this machine and is owed an answer."""
-        return bool(self.ahead or self.request.rest)
+        return self.reader.pending
 
     @property
     def ends_after(self) -> bool:
-        return (self.door.stopping and not self.asks_on) or not self.request.keep
+        return (self.door.stopping and not self.asks_on) or not self.keep
 
     def finished(self, reason: str, usage: Mapping[str, Any]) -> None:
         keep = not self.ends_after
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -222,6 +222,10 @@
     def cancel(self) -> None:
         self.end(Verdict.CANCELLED)
 
+    def withdraw(self) -> None:
+        if self.connection is None:
+            self.end(Verdict.UNSENT)
+
     def end(self, verdict: Verdict, detail: int = 0, keep: bool = False) -> None:
         if self.over:
             return
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -7,6 +7,7 @@
 import socket
 import time
 from collections.abc import Mapping
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -23,9 +24,11 @@
 from heathford.wire.http1 import NonsenseError
 
 ANSWER_MARGIN = 0.02  # s before the client timeout by which it is answered: the way to it, and the loop's lag
-CLIENT_PART = 0.5  # of the descriptors: clients hold a third for requests, others come beside them
-ENGINE_PART = 0.4  # of the descriptors: one for each open request, and some idle
-ACCEPTED = 16  # connections accepted in one turn of the loop: those to be closed go between two turns
+ACCEPTED = 8  # connections accepted in one turn of the loop: those to be closed go between two turns
+OWN_DESCRIPTORS = 16  # standard streams, the loop's own, the listening socket, the configuration's file, and
+# two calls to discovery: the one that is given up and the next
+RESERVED = OWN_DESCRIPTORS + 3 * ACCEPTED  # accepted, but not counted or not closed yet for up to three turns
+CLIENT_PART = 0.55  # of the others: clients hold a third of all for requests, idle ones come beside them
 BACKLOG = 1024  # connections that wait in the socket
 STILL_ASKED = 0.6  # s after SIGTERM for which clients may still come
 TIDY = 8  # sweeps between two full collections of garbage, 2 s: completions and their dispatches point to
@@ -37,6 +40,21 @@
 log = structlog.get_logger()
 
 
+@dataclass(frozen=True)
+class Descriptors:
+    """How many connections clients and engines may have, so that discovery can always be called."""
+
+    clients: int
+    engines: int
+
+    @classmethod
+    def of(cls, limit: int) -> "Descriptors":
+        """Share out all descriptors that the process may have."""
+        free = limit - min(RESERVED, limit // 3)
+        clients = int(CLIENT_PART * free)
+        return cls(clients, free - clients)
+
+
 class Node:
     """told: the configuration, checked."""
 
@@ -48,19 +66,20 @@
         self.loop = asyncio.get_running_loop()
         settings = told["settings"]
         limits, figures = settings["policyLimits"], figures_of(settings)
-        sockets = int(told["limits"].get("sockets") or resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        descriptors = Descriptors.of(
+            int(told["limits"].get("sockets") or resource.getrlimit(resource.RLIMIT_NOFILE)[0]))
         self.instances = Instances(
             {kind: (place, known.role) for place, (kind, known) in
              enumerate(zip(settings["kinds"], figures["kinds"], strict=True))}, settings["azs"])
         self.link = PlatformLink(
             limits["connectTimeoutNs"] / NS, figures["pin_limit"], limits["connIdleNs"] / NS,
-            int(ENGINE_PART * sockets), lambda: self.instances.listed(figures["zone"]))
+            descriptors.engines, lambda: self.instances.listed(figures["zone"]))
         self.core = Core(
             self.loop, self.link, name, seed_of(told), answer_margin=ANSWER_MARGIN,
             subscribe=settings.get("registryMode") == "subscribe", **figures)
         self.door = Door(
             self.core, {c["name"]: place for place, c in enumerate(settings["categories"])},
-            int(CLIENT_PART * sockets))
+            descriptors.clients)
         self.watch = DiscoveryClient(*discovery, self.instances, self.list_changed)
         self.ending = asyncio.Event()
         self.known = told.get("known")
--- a/heathford/standin/link.py
+++ b/heathford/standin/link.py
@@ -46,6 +46,9 @@
         self.done()
         self.events.ended(Verdict.CANCELLED, 0, {}, {})
 
+    def withdraw(self) -> None:
+        """What was sent here has begun."""
+
     def done(self) -> None:
         if not self.link.keep:
             self.link.calls.remove(self)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -149,11 +149,18 @@
 
     def __init__(self, engine: str, name: str, kv: Any, events: CallEvents) -> None:
         self.engine, self.name, self.kv, self.events, self.cancelled = engine, name, kv, events, False
+        self.begun = True  # something of it has left
+        self.withdrawn = False
 
     def cancel(self) -> None:
         self.cancelled = True
         self.events.ended(Verdict.CANCELLED, 0, {}, {})
 
+    def withdraw(self) -> None:
+        if not self.begun:
+            self.withdrawn = True
+            self.events.ended(Verdict.UNSENT, 0, {}, {})
+
 
 class RecordingLink:
     def __init__(self) -> None:
@@ -194,11 +201,14 @@
 class Instance:
     """A core on a loop whose time is told, with a link that records."""
 
-    def __init__(self, effect: Effect = Effect.IDEMPOTENT, cold_multiple: float = 2.5) -> None:
+    def __init__(
+        self, effect: Effect = Effect.IDEMPOTENT, cold_multiple: float = 2.5, may_cancel: bool = True
+    ) -> None:
         self.loop, self.link = StepLoop(), RecordingLink()
         self.core = Core(
             self.loop, self.link, "f", 1, KINDS, [Workload(1.0, 0.0, 0.05, effect, Group.ALL, 2.0, 1.0)],
-            0, 1, 0, 6, 0.3, True, 2.0, 10.0, 0.3, cold_multiple, 2.0, answer_margin=0.1, stream_limit=5.0)
+            0, 1, 0, 6, 0.3, may_cancel, 2.0, 10.0, 0.3, cold_multiple, 2.0, answer_margin=0.1,
+            stream_limit=5.0)
 
     def engines(
         self, *rows: tuple[int, int], health: Health = Health.ON, started: float = 0.0
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -299,3 +299,16 @@
     assert len(left) + len(held) + len(sent) <= 10
     assert len(core.endpoints) <= 6 and len(core.router.engines) <= 6
     assert not any(e.keeps for e in core.router.last_mixed.values() if e.number not in core.router.engines)
+
+
+@pytest.mark.parametrize("may_cancel", [True, False])
+def test_what_has_not_begun_when_its_client_leaves_never_begins(instance: New, may_cancel: bool) -> None:
+    """It may wait for its connection, or for a release. Running ones are only cancelled where that may be."""
+    i = instance(may_cancel=may_cancel)
+    i.engines(*FLEET)
+    _, taken = i.take()
+    i.link.out[-1].begun = False
+    taken.leave()
+    assert i.link.out[-1].withdrawn
+    i.loop.pass_time(10.0)
+    assert len(i.link.out) == 1 and not i.core.live
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import os
+import resource
 import signal
 import socket
 import sys
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -77,10 +79,12 @@
         self.said: list[dict[str, Any]] = []
 
     async def start(
-        self, sockets: int = 256, before: Callable[["Node"], None] | None = None, **limits: Any
+        self, sockets: int = 256, limited: bool = False, before: Callable[["Node"], None] | None = None,
+        **limits: Any
     ) -> None:
-        """before: called once what the front knows from before is written, and before it starts; then it is
-        not waited for until the node watches."""
+        """limited: the process may have no more descriptors than it is told. before: called once what the
+        front knows from before is written, and before it starts; then it is not waited for until the node
+        watches."""
         for engine in self.engines:
             await engine.open()
         await self.agent.open()
@@ -95,6 +99,8 @@
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "heathford", "--log", "json", "platform",
             cwd=Path(__file__).parent.parent, stderr=asyncio.subprocess.PIPE,
+            preexec_fn=partial(resource.setrlimit, resource.RLIMIT_NOFILE, (sockets, sockets))
+            if limited else None,
             env={**os.environ, "NODE_NAME": "n0", "NODE_LISTEN": "127.0.0.1:0",
                  "NODE_DISCOVERY": self.agent.address, "NODE_CONFIG": str(self.path)})
         ready = await self.until("ready")
--- /dev/null
+++ b/tests/test_platform_clients.py
@@ -0,0 +1,150 @@
+"""Clients that go, flood, or meet a close, against a front node's process on loopback."""
+
+import asyncio
+import signal
+from pathlib import Path
+
+import pytest
+from test_platform import ALL, Client, Node, asked, play, reader, writer
+
+GONE = 0.1  # s after a client has gone from which no attempt may begin
+
+
+def posts(*engines: object) -> int:
+    return sum(method == "POST" for engine in engines for method, _ in engine.asked)  # type: ignore[attr-defined]
+
+
+def close(client: Client, how: str) -> None:
+    if how == "reset":
+        client.writer.transport.abort()
+    else:
+        client.writer.close()
+
+
+@pytest.mark.parametrize("how", ["closed", "reset"])
+def test_a_queued_request_whose_client_has_gone_is_never_sent(tmp_path: Path, how: str) -> None:
+    a, b = reader(), writer()
+
+    async def day(node: Node) -> None:
+        node.agent.say({**a.row, "state": "DRAINING"}, {**b.row, "state": "DRAINING"})
+        other = writer(uid="w2")
+        await asyncio.sleep(0.1)
+        client = await node.client()
+        client.say(asked("c0"))
+        await asyncio.sleep(0.1)
+        close(client, how)
+        await asyncio.sleep(GONE)
+        await other.open()
+        node.agent.say(a.row, b.row, other.row)
+        assert await node.ask("c1") == (200, ALL, True)
+        other.close()
+        assert posts(a) == 1 and posts(b, other) == 1
+    play(tmp_path, [a, b], day)
+
+
+@pytest.mark.parametrize("how", ["closed", "reset"])
+@pytest.mark.parametrize("behind", [
+    pytest.param(b"", id="nothing"), pytest.param(b"x", id="a byte"),
+    pytest.param(asked("d1"), id="a request"),
+    pytest.param(40 * asked("d2"), id="40 requests"), pytest.param(2_000_000 * b"x", id="2 MB of noise"),
+    pytest.param(5_000 * asked("d3"), id="1.5 MB of requests")])
+def test_no_write_begins_after_the_client_has_gone(tmp_path: Path, how: str, behind: bytes) -> None:
+    """The client goes while its prompt is read; whatever it sent behind its request, its close is seen.
+
+    Seen before: with more than 64 KiB behind an open request the connection was not read any more, so its end
+    was not seen, and the write went out."""
+    a, b = reader("hold"), writer()
+
+    async def day(node: Node) -> None:
+        client = await node.client()
+        client.say(asked("c0"))
+        await a.until(1)
+        client.say(behind)
+        if behind:
+            await client.writer.drain()
+        close(client, how)
+        await asyncio.sleep(GONE)
+        a.held.set()
+        await asyncio.sleep(0.3)
+        assert posts(b) == 0 and posts(a) == 1
+        assert await node.ask("c1") == (200, ALL, True)
+    play(tmp_path, [a, b], day)
+
+
+@pytest.mark.parametrize("step", ["reset", "error", "full", "hold"])
+def test_no_further_attempt_begins_after_the_client_has_gone(tmp_path: Path, step: str) -> None:
+    """Its first attempt ends, one way or another, after the client has gone."""
+    a, b, other = reader(), writer("hold"), writer(uid="w2")
+    other.state = "DRAINING"
+
+    async def day(node: Node) -> None:
+        client = await node.client()
+        client.say(asked("c0"))
+        await b.until(1)
+        client.writer.close()
+        await asyncio.sleep(GONE)
+        b.script = [step]
+        b.held.set()
+        node.agent.say({**other.row, "state": "SERVING"})
+        await asyncio.sleep(0.3)
+        assert posts(a) == 1 and posts(b) == 1 and posts(other) == 0
+    play(tmp_path, [a, b, other], day)
+
+
+def test_what_a_client_sent_ahead_is_answered_in_order(tmp_path: Path) -> None:
+    async def day(node: Node) -> None:
+        client = await node.client()
+        client.say(b"".join(asked(f"c{n}") for n in range(6)))
+        for _ in range(6):
+            assert await client.answer() == (200, ALL, True)
+    play(tmp_path, [reader(), writer()], day)
+
+
+def test_a_flood_behind_an_open_request_costs_other_clients_nothing(tmp_path: Path) -> None:
+    a, b = reader("hold"), writer()
+
+    async def day(node: Node) -> None:
+        flood = await node.client()
+        flood.say(asked("c0") + 2_000 * asked("d"))
+        await a.until(1)
+        assert await node.ask("c1") == (200, ALL, True)
+        a.held.set()
+        assert await flood.answer() == (200, ALL, True)
+    play(tmp_path, [a, b], day)
+
+
+def test_a_request_that_crosses_our_close_is_not_sent_on_and_resets_nothing(tmp_path: Path) -> None:
+    """After SIGTERM idle connections are shut. A request that comes then is read and dropped: its client
+    reads an end, not a reset, and sends it anew elsewhere."""
+    a, b = reader(), writer("hold")
+
+    async def day(node: Node) -> None:
+        idle, busy = await node.client(), await node.client()
+        idle.say(asked("c0"))
+        b.script = ["good", "hold"]
+        assert await idle.answer() == (200, ALL, True)
+        busy.say(asked("c1"))
+        await b.until(2)
+        assert node.process
+        node.process.send_signal(signal.SIGTERM)
+        assert await idle.reader.read() == b""
+        idle.say(asked("c2"))
+        await asyncio.sleep(0.2)
+        b.held.set()
+        assert await busy.answer() == (200, ALL, True)
+        assert ("POST", "c2") not in a.asked and idle.reader.exception() is None
+        idle.writer.close()
+        assert await node.process.wait() == 0
+    play(tmp_path, [a, b], day)
+
+
+def test_an_error_is_read_although_its_client_goes_on_sending(tmp_path: Path) -> None:
+    async def day(node: Node) -> None:
+        client = await node.client()
+        head = b"POST /v1/chat/completions HTTP/1.1\r\nHost: o\r\nContent-Length: 60000000\r\n\r\n"
+        client.say(head + 1_000_000 * b"x")
+        status, _, whole = await client.answer()
+        assert (status, whole) == (413, True)
+        client.say(1_000 * b"x")
+        assert await client.reader.read() == b""
+    play(tmp_path, [reader(), writer()], day)
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -169,6 +169,37 @@
     asyncio.run(day())
 
 
+def test_what_waits_for_a_release_when_it_is_withdrawn_is_never_sent(engine: Engine) -> None:
+    async def day() -> None:
+        link = link_of()
+        link.release(engine.endpoint(), "a1")
+        heard = Heard(lambda: None)
+        call = send(link, engine, heard)
+        held = await engine.accepted()
+        await until(lambda: bool(select.select([held], [], [], 0.0)[0]))
+        assert held.recv(65_536).startswith(b"DELETE ")
+        call.withdraw()
+        assert heard.ends == [(Verdict.UNSENT, None)]
+        held.send(b"HTTP/1.1 204 No Content\r\n\r\n")
+        await asyncio.sleep(0.1)
+        assert not select.select([held, engine.listener], [], [], 0.0)[0] and len(heard.ends) == 1
+
+    asyncio.run(day())
+
+
+def test_what_has_begun_is_not_withdrawn(engine: Engine) -> None:
+    async def day() -> None:
+        link = link_of()
+        heard = Heard(lambda: None)
+        call = send(link, engine, heard)
+        held = await engine.accepted()
+        await until(lambda: bool(select.select([held], [], [], 0.0)[0]))
+        call.withdraw()
+        assert not heard.ends and not at_end(held)
+
+    asyncio.run(day())
+
+
 def test_dead_engines_are_passed_over_at_once(engine: Engine) -> None:
     """A lost zone: each refuses at once, and a wait after each had used the limit up."""
     async def day() -> None:
