A cold engine's part falls as more texts lead to it, and a front keeps to its part of all

Lines: takes() and cold_part() in choice.py.

Change: a front counts to which engines its last 64 texts are drawn; where more than the mean leads to a cold one its part is as much smaller (lead()), and all its sends to cold engines of a role together stay within its part of all of them, beside that of each. Two tests of the part now name texts that lead to each engine alike, which they took for granted; their bounds are as they were.

--- a/heathford/choice.py
+++ b/heathford/choice.py
@@ -58,6 +58,7 @@
 FAILURES = {Verdict.ERROR: 1.0, Verdict.TIMED_OUT: 1.0, Verdict.BROKEN: 1.0, Verdict.UNREACHABLE: ERRORS}
 TRICKLE_DONE = 16  # dispatches at once from which a trickle is over
 COLD_PART = 0.8  # of the rule's own budget at the coldest, against warm engines' mean: the rest is chance
+RECENT = 64  # of our completions: by their texts a front tells how much of all leads to one engine
 
 POINTS = 32  # of an engine on the ring that prompts are hashed to: shares of readers differ by a sixth or so
 WALK = 32  # points walked to a usable engine: a rack or two away, and it is found
@@ -387,6 +388,7 @@
         self.engines: dict[int, Engine] = {}
         self.listed: dict[int, None] = {}
         self.told = False  # of any engine, ever
+        self.drawn_at, self.drawn = -inf, dict[Engine, int]()  # our recent texts, by the engine drawn first
         self.list_ends()
         self.read_fit, self.mixed_fit = Fit(2), Fit(3)
         self.last_mixed: dict[str, Engine] = {}
@@ -395,6 +397,7 @@
         self.wake_at, self.looked, self.ask_at = -inf, -inf, clock.now if subscribe else inf
         self.asked = self.good = self.counted_at = 0.0  # completions lately, and those answered in time
         self.read = self.heard = 0.0  # reads lately, and those answered
+        self.recent: deque[str] = deque(maxlen=RECENT)  # by what our completions are drawn
 
     def list_begins(self, complete: bool) -> None:
         self.listed = {} if complete else dict.fromkeys(self.engines)
@@ -422,12 +425,12 @@
                 del self.engines[number]
                 engine.keeps.clear()  # sessions that were there last remember the engine itself for longer
         listed = [e for e in self.engines.values() if e.health is Health.ON]
-        self.cold_parts: dict[Role, tuple[float, float]] = {}  # when worked out, and sends a second
+        self.cold_parts: dict[Role, tuple[float, float, float]] = {}  # when worked out, and sends
         self.pools = {role: [e for e in listed if e.kind.role is role] for role in Role}
         self.writers = self.pools[Role.WRITER] + self.pools[Role.MIXED]
         if self.read_in_place and not self.pools[Role.MIXED]:
             self.pools[Role.MIXED] = self.pools[Role.WRITER]  # they read as mixed servers do, where none is
-        self.told = self.told or bool(self.engines)
+        self.told, self.drawn_at = self.told or bool(self.engines), -inf
         self.rings = {role: (Ring([e for e in pool if e.zone == self.zone]), Ring(pool))
                       for role, pool in self.pools.items()}
 
@@ -449,6 +452,7 @@
         self.read, self.heard = self.read * kept, self.heard * kept
         if self.random.random() * self.asked > ADMIT * self.good + DOUBT:
             completion.late_at = -inf
+        self.recent.append(completion.key)
         self.waiting.append(completion)
         return completion
 
@@ -582,23 +586,46 @@
     def takes(self, engine: Engine, completion: Completion) -> bool:
         """Guards against all fronts finding an empty, slow engine at once: of what leads to a cold one each
         front lets in the same part, by a hash that changes with the rule's window, so that all parts add up
-        to its budget, and the engine reads the texts that stay with it. A front alone that sends much keeps
-        to its part of what warm ones answer to it. Could harm by a text that very many ask for at once."""
+        to its budget, and the engine reads the texts that stay with it. Where a text that very many ask for
+        leads there, the part is as much smaller. A front alone that sends much keeps to its part of what warm
+        ones answer to it. Could harm by too few sends where a front has seen few texts."""
         window = int(self.clock.now / self.cold_window)
         drawn = hashed(f"{engine.number}:{window}:{completion.session}") / 65536
-        if drawn >= self.cold_share * min(1.0, 1.0 / self.unheard):
+        if drawn >= self.cold_share * min(1.0, 1.0 / self.unheard, 1.0 / self.lead(engine)):
             return False
-        ours = sum(sent >= self.clock.now - self.cold_window for sent in engine.cold_sends)
-        return ours < max(1.0, self.cold_part(engine.kind.role) * self.cold_window)
+        each, together = self.cold_parts_of(engine.kind.role)
+        cold = [e for e in self.pools[engine.kind.role] if e.cold_sends and self.cold(e)]
+        return self.sent_cold(engine) < max(1.0, each) and sum(map(self.sent_cold, cold)) < max(1.0, together)
 
-    def cold_part(self, role: Role) -> float:
-        """Sends a second of this front to one cold engine of the role; worked out once for all that ask."""
-        at, part = self.cold_parts.get(role, (-1.0, 0.0))
+    def sent_cold(self, engine: Engine) -> int:
+        return sum(sent >= self.clock.now - self.cold_window for sent in engine.cold_sends)
+
+    def lead(self, engine: Engine) -> float:
+        """How many times as many of our recent texts are drawn to this engine first as to the mean one of its
+        ring; one more than were seen. Worked out once a window for all engines."""
+        now = self.clock.now
+        if now - self.drawn_at >= self.cold_window:
+            self.drawn_at, self.drawn = now, {}
+            for near, far in self.rings.values():
+                for key in self.recent:
+                    if first := (near if near.points else far).draw(f"1:{key}", lambda e: True):
+                        self.drawn[first] = self.drawn.get(first, 0) + 1
+        near, far = self.rings[engine.kind.role]
+        engines = len((near if near.points else far).points) / POINTS
+        return (self.drawn.get(engine, 0) + 1) / (len(self.recent) + 1) * max(1.0, engines)
+
+    def cold_parts_of(self, role: Role) -> tuple[float, float]:
+        """Sends of this front in a window to one cold engine of the role, and to all of them; worked out once
+        for all that ask. All too, as each by itself may always get one: many fronts' ones add up."""
+        at, each, together = self.cold_parts.get(role, (-1.0, 0.0, 0.0))
         if at != self.clock.now:
-            warm = [e for e in self.pools[role] if not self.cold(e)] or self.pools[role]
-            part = self.cold_share * self.answer_rate(warm) / max(1, len(warm))
-            self.cold_parts[role] = self.clock.now, part
-        return part
+            pool = self.pools[role]
+            warm = [e for e in pool if not self.cold(e)]
+            rate = self.answer_rate(warm or pool) / max(1, len(warm or pool))
+            each = self.cold_share * rate * self.cold_window
+            together = each * (len(pool) - len(warm))
+            self.cold_parts[role] = self.clock.now, each, together
+        return each, together
 
     def answer_rate(self, engines: Sequence[Engine]) -> float:
         """What these answered to this front, a second: in the rule's window, or over the time in which an
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -8,7 +8,7 @@
 import pytest
 from conftest import KINDS, Bench
 
-from heathford.choice import Engine, Fit, mixed_features, read_features
+from heathford.choice import Engine, Fit, Router, mixed_features, read_features
 from heathford.interface import Effect, Group, Health, Kind, Role, Verdict, Workload
 
 New = Callable[..., Bench]
@@ -341,6 +341,16 @@
     assert {e for _, e in b.asked()} == {21 - silent}
 
 
+def texts_for_each(router: Router, role: Role) -> list[str]:
+    """As many recent texts for each engine of the role: as much leads to a cold one as to its like."""
+    ring = router.rings[role][0]
+    found: dict[Engine, str] = {}
+    for text in map(str, range(1000)):
+        if engine := ring.draw(f"1:{text}", lambda e: True):
+            found.setdefault(engine, text)
+    return 20 * list(found.values())
+
+
 @pytest.mark.parametrize("fronts, per_second, budget", [
     (3, 30.0, 54.0), (200, 0.4, 48.0), (230, 0.1, 13.8), (1024, 0.25, 153.6)])
 def test_fronts_share_the_budget_of_a_cold_engine(
@@ -357,6 +367,7 @@
         b.engines((20, 0), started=start)
         engine = b.router.engines[20]
         c = b.take()
+        b.router.recent.extend(texts_for_each(b.router, Role.READER))
         engine.trickle = 0
         b.router.read = b.router.heard = 0.0
         for i in range(int(-10 * per_second), int(8 * per_second) + 1):
@@ -383,6 +394,7 @@
     c = b.take()
     b.router.read, b.router.heard = 40.0, 40.0 * answered
     b.engines((20, 0), started=b.now)
+    b.router.recent.extend(texts_for_each(b.router, Role.READER))
     engine = b.router.engines[20]
     let_in = 0
     for i in range(1000):
