--- a/benchmarks/front_cost.py
+++ b/benchmarks/front_cost.py
@@ -29,7 +29,7 @@
 ROOT = Path(__file__).parent.parent
 TOKENS = 8
 PROMPT = "x" * 1600
-PARTS = {"heathford/choice.py": "module", "heathford/core": "core", "heathford/engines": "engine link",
+PARTS = {"heathford/policy": "module", "heathford/core": "core", "heathford/engines": "engine link",
          "heathford/wire": "engine link", "heathford/sessions": "session", "tornado/websocket": "session",
          "tornado/iostream": "streams and loop", "asyncio": "streams and loop", "tornado": "streams and loop",
          "selectors": "streams and loop"}
--- a/benchmarks/unguarded_front.py
+++ b/benchmarks/unguarded_front.py
@@ -4,13 +4,14 @@
 from collections.abc import Callable
 from typing import Any
 
-from heathford import choice
 from heathford.cli.main import cli
 from heathford.core import core
 from heathford.engines import link
 from heathford.front import memory
 from heathford.identity import identities
 from heathford.interface import Effect, Health
+from heathford.policy import Router, router
+from heathford.policy.slow_start import SlowStart
 from heathford.sessions import rpc, session, sharing
 from heathford.sessions.guidance import Retry
 from heathford.sessions import socket as sockets
@@ -26,7 +27,8 @@
 
 
 def never_gives_up() -> None:
-    choice.Completion.hopeless = lambda self, now: False  # type: ignore[method-assign]
+    router.LAST_CALL = -1e9
+    Router.has_taker = lambda self, completion, now: True  # type: ignore[method-assign]
     core.Taken.overdue = lambda self: None  # type: ignore[method-assign]
 
 
@@ -44,38 +46,38 @@
 
 def forgets_effects() -> None:
     """All workloads are taken for idempotent."""
-    true = choice.Router.__init__
+    true = Router.__init__
 
-    def begin(self: choice.Router, *args: Any, **more: Any) -> None:
+    def begin(self: Router, *args: Any, **more: Any) -> None:
         true(self, *args, **more)
         self.workloads = [
             type(w)(w.latency_target, w.target_per_1000, w.token_target, Effect.IDEMPOTENT, w.group,
                     w.memory_time, w.value) for w in self.workloads]
-    choice.Router.__init__ = begin  # type: ignore[method-assign]
+    Router.__init__ = begin  # type: ignore[method-assign]
 
 
 def ignores_drains() -> None:
-    true = choice.Router.list_row
+    true = Router.list_row
 
     def row(
-        self: choice.Router, number: int, zone: int, kind: int, cell: int, health: Health, size: float,
+        self: Router, number: int, zone: int, kind: int, cell: int, health: Health, size: float,
         started: float,
     ) -> None:
         true(self, number, zone, kind, cell, Health.ON, size, started)
-    choice.Router.list_row = row  # type: ignore[method-assign]
+    Router.list_row = row  # type: ignore[method-assign]
 
 
 def crowds_cold_engines() -> None:
     """Each new process gets all that the front has, and so from each front."""
-    choice.Router.cold = lambda self, engine: False  # type: ignore[method-assign]
-    true = choice.Router.hashed_pair
+    SlowStart.cold = lambda self, engine: False  # type: ignore[method-assign]
+    true = Router.hashed_pair
 
-    def pair(self: choice.Router, completion: Any, role: Any, is_open: Any) -> Any:
+    def pair(self: Router, completion: Any, role: Any, is_open: Any) -> Any:
         newest = max(self.pools[role], key=lambda e: e.started, default=None)
-        if newest and newest.started > 0 and self.clock.now - newest.started < self.warm_after:
+        if newest and newest.started > 0 and self.clock.now - newest.started < self.slow_start.warm_after:
             return newest
         return true(self, completion, role, is_open)
-    choice.Router.hashed_pair = pair  # type: ignore[method-assign]
+    Router.hashed_pair = pair  # type: ignore[method-assign]
 
 
 def pins_states() -> None:
--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -12,9 +12,9 @@
 
 import structlog
 
-from heathford.choice import Completion, Router
 from heathford.core.doors import Call, Cancellable, Endpoint, Link, Loop, Sink
 from heathford.interface import NEVER_RAN, Handle, Health, Kind, Role, Verdict, Workload
+from heathford.policy import Completion, Router
 
 FAULTS = 64  # faults in one decision after which it is left to the next turn: more is a loop, not a fault
 
--- a/heathford/drill/wire.py
+++ b/heathford/drill/wire.py
@@ -6,8 +6,8 @@
 from typing import Any
 
 from heathford.bootinfo import NS, figures_of
-from heathford.choice import Router
 from heathford.interface import Handle, Health, Verdict
+from heathford.policy import Router
 
 HEALTHS = {"on": Health.ON, "fading": Health.DRAINING, "off": Health.GONE}
 VERDICTS = {
--- a/heathford/interface.py
+++ b/heathford/interface.py
@@ -1,4 +1,4 @@
-"""What passes between the decisions (heathford.choice) and whatever carries them out.
+"""What passes between the decisions (heathford.policy) and whatever carries them out.
 
 A carrier, the drill adapter now and a real front later, makes one Router an instance, hands it a clock and
 an InstanceDoor, and calls it; each completion that it takes brings a CompletionDoor of its own and gets a
--- /dev/null
+++ b/heathford/policy/request_state.py
@@ -0,0 +1,152 @@
+"""One completion: its dispatches, what may still be done for it, and what it teaches of engines."""
+
+from collections import deque
+from collections.abc import Mapping
+from math import inf
+from typing import Protocol
+
+from heathford.interface import NEVER_RAN, Clock, CompletionDoor, Effect, Group, Role, Verdict, Workload
+from heathford.policy.engine_state import FAILURES, LIMITED, PACE_FADE, REST, Dispatch, Engine
+from heathford.policy.estimators import Fit, mixed_features, read_features
+
+AT_ONCE = 0.05  # share of the latency target in which a full queue says so; a limit on some work takes longer
+READS = 2.0  # times its predicted reading that a completion needs before its target: to read and to write
+
+
+class Policy(Protocol):
+    """What a completion needs of the Router that took it."""
+
+    clock: Clock
+    read_fit: Fit
+    mixed_fit: Fit
+    heard: float
+    good: float
+    asked: float
+    hold: float
+    retry_after: float
+    may_cancel: bool
+    answers: deque[tuple[float, Engine]]
+    waiting: "list[Completion]"
+
+
+class Completion:
+    """The handle of one completion: heathford.interface.Handle."""
+
+    def __init__(
+        self, router: Policy, door: CompletionDoor, workload: Workload, session: str, shared: str,
+        prompt: int, shared_tokens: int, answer: float, due: float, origin: object, now: float,
+    ) -> None:
+        self.router, self.door, self.workload = router, door, workload
+        self.session, self.shared, self.prompt, self.shared_tokens = session, shared, prompt, shared_tokens
+        self.answer, self.due, self.key = answer, due, shared or session
+        self.target, self.origin = workload.latency_target + workload.target_per_1000 * prompt / 1000, origin
+        self.target_at = now + self.target
+        self.late_at = self.target_at - READS * router.read_fit.aged(read_features(prompt), now)
+        self.counts = due >= self.target_at  # a client with less time than the target says nothing of engines
+        self.dispatches: list[Dispatch] = []
+        self.out: Dispatch | None = None
+        self.state: Engine | None = None  # the reader where its state waits
+        self.held_since, self.over, self.stuck = 0.0, False, False
+
+    @property
+    def settled(self) -> bool:
+        return self.over and self.out is None
+
+    def first_token(self, seq: int, latency: float) -> None:
+        if seq >= len(self.dispatches) or self.dispatches[seq].verdict:
+            return
+        now, dispatch = self.router.clock.now, self.dispatches[seq]
+        dispatch.streaming = now
+        self.router.heard += dispatch.local
+        if dispatch.local:  # the stream's end would tell the cached tokens, but comes seconds late
+            self.router.mixed_fit.add(mixed_features(dispatch.new, dispatch.contexts), latency, now)
+        self.over, self.state = True, None
+        self.router.good += self.counts and now <= self.target_at
+        dispatch.engine.went_well(latency, self.target, now, self.router.answers)
+
+    def ended(
+        self, seq: int, verdict: Verdict, latency: float, closed: bool, detail: int, load: Mapping[str, float]
+    ) -> None:
+        if seq >= len(self.dispatches) or self.dispatches[seq].verdict:
+            return  # never sent, or told before
+        now, dispatch, engine = self.router.clock.now, self.dispatches[seq], self.dispatches[seq].engine
+        if verdict is Verdict.FINISHED and not dispatch.streaming:
+            self.first_token(seq, latency)  # told whole: else it would count as a stream begun at zero
+        dispatch.verdict = verdict
+        engine.out = [d for d in engine.out if d is not dispatch]
+        if load:
+            engine.load, engine.load_at = load, now
+        self.over = self.over or closed
+        if self.out is dispatch:
+            self.out = None
+        self.stuck = False  # looked at at once: a final answer may be due
+        if verdict is not Verdict.UNREACHABLE or not self.state:
+            self.held_since = now
+        elif now - self.held_since >= self.router.hold:
+            # Guards against a state pinned while one writer after the other can't be reached: nothing came to
+            # an engine since the read. Costs a second read where the next would have been reached.
+            self.let_go()
+        read = verdict is Verdict.READ or (verdict is Verdict.FINISHED and dispatch.local)
+        if read and not detail and dispatch.new < self.prompt:
+            engine.keeps.clear()  # it lost what it kept, all at once as a rule
+        if verdict is Verdict.READ:
+            engine.went_well(latency, self.target, now, self.router.answers)
+            self.router.heard += 1
+            self.router.read_fit.add(read_features(self.prompt - detail), latency, now)
+            engine.keep(self)
+            self.state = engine
+        elif verdict is Verdict.FINISHED:
+            engine.streamed, engine.streamed_at = engine.streamed * PACE_FADE + now - dispatch.streaming, now
+            engine.hinted = engine.hinted * PACE_FADE + self.answer * self.workload.token_target
+        elif verdict is Verdict.FULL and detail:
+            self.let_go()  # gone, or out of the writer's reach and still pinned: read again
+        elif verdict is Verdict.FULL:
+            limited = latency > AT_ONCE * self.target  # what is short of room says so at once, and to all
+            engine.rest(self.origin if limited else None, dispatch.sent, now, LIMITED if limited else REST)
+        elif verdict in FAILURES and not dispatch.streaming and (
+                verdict is not Verdict.TIMED_OUT or (self.counts and engine.answered < dispatch.sent)):
+            # A time-out of one with less time than its target, or where others were answered, is no failure.
+            engine.went_badly(FAILURES[verdict], dispatch.sent, now)
+            if verdict is Verdict.TIMED_OUT:  # as slow as that at least: its queue needs as long
+                engine.rest(None, dispatch.sent, now, latency)
+        if self.over:
+            self.let_go()
+        else:
+            self.router.waiting.append(self)
+
+    def left(self) -> None:
+        self.over = True
+        if self.out is None:
+            self.let_go()
+        elif self.router.may_cancel and not self.out.streaming:
+            self.door.cancel(self.out.seq)
+
+    def let_go(self) -> None:  # nothing stays pinned: neither an answer nor a client's leaving frees a state
+        if self.state:
+            self.door.release()
+            self.state = None
+
+    def risky(self) -> list[Dispatch]:  # those that may have had an effect
+        return [d for d in self.dispatches if not d.reading and d.verdict not in NEVER_RAN]
+
+    def may_go_to(self, engine: Engine, now: float) -> bool:  # no effect twice
+        risky = self.risky()
+        if not risky or engine.kind.role is Role.READER or self.workload.effect is Effect.IDEMPOTENT:
+            return True
+        if self.workload.effect is Effect.NON_IDEMPOTENT:
+            return False
+        group = self.workload.group
+        return now - risky[0].sent < self.workload.memory_time and all(
+            group is Group.ALL or d.engine.cell == engine.cell
+            or (group is Group.ZONE and d.engine.zone == engine.zone) for d in risky)
+
+    def give_up(self) -> None:
+        if not self.dispatches and self.late_at > -inf:  # a guess of ours says nothing of what engines can do
+            self.router.asked = max(0.0, self.router.asked - self.counts)
+        self.let_go()
+        self.over = True
+        known = self.workload.effect is Effect.TOKENED and self.workload.group is Group.ALL
+        if known or self.workload.effect is Effect.IDEMPOTENT or not self.risky():
+            self.door.rate_limit(self.router.retry_after)
+        else:
+            self.door.abort()
--- /dev/null
+++ b/heathford/policy/router.py
@@ -0,0 +1,267 @@
+"""The Router: the list of engines, what waits, and the next step of each completion."""
+
+import random
+from collections.abc import Sequence
+from functools import partial
+from math import exp2, inf
+from statistics import median
+
+from heathford.interface import Clock, CompletionDoor, Effect, Health, InstanceDoor, Kind, Role, Workload
+from heathford.policy.engine_state import REPORT_LIFE, Dispatch, Engine, remember
+from heathford.policy.estimators import STALE, Fit, reader_is_better
+from heathford.policy.placement import Ring, Test
+from heathford.policy.request_state import Completion
+from heathford.policy.slow_start import COLD_PART, SlowStart
+
+GATE = 2  # our reads out at one reader
+MEDIANS = 2.0  # times our median tokens that a session's last mixed server may hold
+MEMORY_USED = 0.92  # share of memory up to which a writer has free blocks; the rest is for answers that grow
+SLOTS_USED = 0.97  # reported share of slots in use from which a new answer would queue
+PER_ROOM = 2  # our reads, not yet taken, for each writer with room: one going there, one being read
+LAST_CALL = 0.15  # s before the client timeout at which what waits is given up: a short read's time
+TICK = 0.05  # s between two looks at what waits: small beside any latency target
+HOLD = 0.4  # share of the pin limit for which a state waits for a writer with room
+TRY_SHARE = 0.5  # share of the time left that a dispatch which may be repeated may take: leaves one more
+WAITS = 2.0  # latency targets for which what may be repeated is waited for: a full queue is read in that time
+RETRY_AFTER = 0.5  # s that a rate-limited client, or we after a failed call for the list, should stay away
+ADMIT = 1.5  # times what was answered in time that is let in: a third may miss before any is turned away
+DOUBT = 4.0  # completions that may miss before any is turned away: a few prove nothing
+
+
+class Router:
+    """One instance's policy: heathford.interface says what it is told and what it asks for."""
+
+    def __init__(
+        self, clock: Clock, door: InstanceDoor, seed: int, kinds: Sequence[Kind],
+        workloads: Sequence[Workload], number: int, fronts: int, zone: int,
+        try_limit: int, pin_limit: float, may_cancel: bool, may_delay_retries: bool, longest_retry: float,
+        warm_after: float, cold_from: float, cold_multiple: float, cold_window: float, read_in_place: bool,
+        subscribe: bool,
+    ) -> None:
+        self.clock, self.door, self.random = clock, door, random.Random(seed)
+        self.kinds, self.workloads = kinds, workloads
+        self.tightest = min((w.latency_target for w in workloads), default=inf)
+        self.number, self.fronts, self.zone = number, max(1, fronts), zone
+        self.try_limit, self.pin_limit, self.may_cancel = try_limit, pin_limit, may_cancel
+        self.retry_after = min(RETRY_AFTER, longest_retry) if may_delay_retries else 0.0
+        self.hold = min(HOLD * pin_limit, pin_limit - 2 * TICK)  # what waits is looked at once a tick
+        self.read_in_place = read_in_place
+        cold_share = COLD_PART * cold_from * cold_multiple
+        self.slow_start = SlowStart(clock, warm_after, max(cold_window, TICK), cold_share)
+        self.answers = self.slow_start.answers
+        self.engines: dict[int, Engine] = {}
+        self.listed: dict[int, None] = {}
+        self.told = False  # of any engine, ever
+        self.list_ends()
+        self.read_fit, self.mixed_fit = Fit(2), Fit(3)
+        self.last_mixed: dict[str, Engine] = {}
+        self.waiting: list[Completion] = []
+        self.wake_at, self.looked, self.ask_at = -inf, -inf, clock.now if subscribe else inf
+        self.asked = self.good = self.counted_at = 0.0  # completions lately, and those answered in time
+        self.read = self.heard = 0.0  # reads lately, and those answered
+
+    def list_begins(self, complete: bool) -> None:
+        self.listed = {} if complete else dict.fromkeys(self.engines)
+
+    def list_row(
+        self, number: int, zone: int, kind: int, cell: int, health: Health, size: float, started: float
+    ) -> None:
+        self.listed[number] = None
+        engine = self.engines.get(number)
+        if not engine or (engine.zone, engine.cell, engine.kind) != (zone, cell, self.kinds[kind]):
+            if engine:  # another machine under a known number: what is out at the old one ends there
+                engine.health = Health.GONE
+            engine = self.engines[number] = Engine(number, zone, cell, self.kinds[kind], size, started)
+        if engine.started != started:
+            engine.begin(started)
+        engine.health = health
+        if self.slow_start.cold(engine) and not engine.trickle:
+            engine.trickle = 1
+
+    def list_ends(self) -> None:
+        for number, engine in list(self.engines.items()):
+            if number not in self.listed:
+                engine.health = Health.GONE
+            if engine.health is Health.GONE and not engine.out:
+                del self.engines[number]
+                engine.keeps.clear()  # sessions that were there last remember the engine itself for longer
+        listed = [e for e in self.engines.values() if e.health is Health.ON]
+        self.pools = {role: [e for e in listed if e.kind.role is role] for role in Role}
+        self.writers = self.pools[Role.WRITER] + self.pools[Role.MIXED]
+        if self.read_in_place and not self.pools[Role.MIXED]:
+            self.pools[Role.MIXED] = self.pools[Role.WRITER]  # they read as mixed servers do, where none is
+        self.told = self.told or bool(self.engines)
+        self.rings = {role: (Ring([e for e in pool if e.zone == self.zone]), Ring(pool))
+                      for role, pool in self.pools.items()}
+        self.slow_start.list_changed(self.pools, self.rings)
+
+    def list_failed(self) -> None:
+        self.ask_at = self.clock.now + RETRY_AFTER * (1.0 + self.random.random())  # the list held stays valid
+        self.door.wake(self.ask_at - self.clock.now + TICK)
+
+    def take(
+        self, door: CompletionDoor, workload: int, member: int, session: str, shared: str, prompt: int,
+        shared_tokens: int, longest: int, answer_hint: float, due: float,
+    ) -> Completion:
+        now, kind = self.clock.now, self.workloads[workload]
+        hinted = answer_hint and kind.token_target
+        answer = min(longest, answer_hint / kind.token_target if hinted else longest / 2)
+        completion = Completion(self, door, kind, session, shared, prompt, shared_tokens, answer, due,
+                                (workload, member), now)
+        kept, self.counted_at = exp2((self.counted_at - now) / STALE), now
+        self.asked, self.good = self.asked * kept + completion.counts, self.good * kept
+        self.read, self.heard = self.read * kept, self.heard * kept
+        if self.random.random() * self.asked > ADMIT * self.good + DOUBT:
+            completion.late_at = -inf
+        self.slow_start.recent.append(completion.key)
+        self.waiting.append(completion)
+        return completion
+
+    @property
+    def jammed(self) -> bool:
+        """Guards against queues in which all becomes late, kept up by clients that come again. Could harm
+        where more than a third misses its target through no lack of room."""
+        return self.asked > ADMIT * self.good + DOUBT
+
+    @property
+    def unheard(self) -> float:  # reads sent lately for each that was answered
+        return (self.read + 1) / (self.heard + 1)
+
+    def decide(self) -> None:
+        """The next step of all with no dispatch out; what can't be placed waits and is looked at once a tick.
+        While others wait, or in a jam, what can hardly meet its target makes way for what can."""
+        now, jammed = self.clock.now, self.jammed
+        if self.ask_at <= now:
+            self.ask_at = inf
+            self.door.subscribe()
+        again = now - self.looked >= TICK
+        crowded = jammed or any(c.stuck for c in self.waiting)
+        here = [c for c in self.waiting if not c.over and (again or not c.stuck)]
+        self.looked = now if again else self.looked
+        self.waiting = [c for c in self.waiting if c.stuck and not again and not c.over]
+        for completion in sorted(here, key=lambda c: (c.state is None, c.late_at)):
+            fresh = not completion.state and not completion.risky()
+            hopeless = now >= completion.due - LAST_CALL or not self.has_taker(completion, now)
+            if hopeless or (fresh and crowded and now >= completion.late_at):
+                completion.give_up()
+            elif not self.placed(completion):
+                self.waiting.append(completion)
+                completion.stuck = fresh
+        if self.waiting and now >= self.wake_at:
+            self.wake_at = now + TICK / 2
+            self.door.wake(TICK)
+
+    def has_taker(self, completion: Completion, now: float) -> bool:
+        """Guards against waits that only the clock ends, as of a tokened one past its time or with its group
+        gone. Could harm where one comes back a moment later; the client is told when to."""
+        tries = self.try_limit - len(completion.dispatches)
+        if not self.told:
+            return tries > 0  # a front that has just started waits for its list
+        read = completion.state or (tries > 1 and self.pools[Role.READER])
+        return tries > 0 and any(
+            completion.may_go_to(e, now) for e in (self.writers if read else self.pools[Role.MIXED]))
+
+    def placed(self, completion: Completion) -> bool:
+        now, tries = self.clock.now, self.try_limit - len(completion.dispatches)
+        if completion.state:
+            return self.write(completion, completion.state, now)
+        mixed, reader = self.pick_mixed(completion), self.pick_reader(completion) if tries > 1 else None
+        local = mixed is not None and self.has_room(mixed, completion)
+        if mixed and local and not (reader and self.reader_reads(completion, reader, mixed)):
+            self.send(completion, mixed, False)
+            return True
+        if reader:
+            self.send(completion, reader, True)
+        return bool(reader)
+
+    def reader_reads(self, completion: Completion, reader: Engine, mixed: Engine) -> bool:
+        at_reader, at_mixed = (completion.prompt - e.kept(completion) for e in (reader, mixed))
+        now = self.clock.now
+        return reader_is_better(
+            self.read_fit, self.mixed_fit, at_reader, at_mixed, mixed.contexts(now), now)
+
+    def pick_reader(self, completion: Completion) -> Engine | None:
+        """Guards against states piling up before full writers, the strain of the memory fallback: no read
+        starts while no writer has room for it."""
+        roomy = sum(self.usable(e, completion) and self.has_room(e, completion) for e in self.writers)
+        if sum(len(e.out) for e in self.pools[Role.READER]) >= PER_ROOM * roomy:
+            return None
+        now = self.clock.now
+        return self.hashed_pair(completion, Role.READER, lambda e: len(e.out) < GATE and not e.closed(
+            completion.origin, now, self.tightest))
+
+    def pick_mixed(self, completion: Completion) -> Engine | None:
+        now, last = self.clock.now, self.last_mixed.get(completion.session)
+        pool = self.pools[Role.MIXED]
+        if last and last in pool and self.usable(last, completion) and completion.may_go_to(last, now) and (
+                last.tokens <= MEDIANS * median(e.tokens for e in pool)):
+            return last
+        return self.hashed_pair(completion, Role.MIXED, lambda e: completion.may_go_to(e, now))
+
+    def hashed_pair(self, completion: Completion, role: Role, is_open: Test) -> Engine | None:
+        """Two drawn by hashing the shared beginning, else the session, in the own zone; with both closed, two
+        of all. Drawn from open ones only, a session would move under load and be read anew each time. If
+        neither holds more of our tokens it is the first, at all fronts alike: one engine keeps the text."""
+        usable = partial(self.usable, completion=completion)
+        for ring in self.rings[role]:
+            drawn = [ring.draw(f"{seed}:{completion.key}", usable) for seed in (1, 2)]
+            able = [e for e in drawn if e and is_open(e)]
+            if able:
+                return min(able, key=lambda e: e.tokens)
+        return None
+
+    def has_room(self, engine: Engine, completion: Completion) -> bool:
+        now, load = self.clock.now, engine.load if self.clock.now - engine.load_at < REPORT_LIFE else {}
+        if engine.closed(completion.origin, now, self.tightest) or engine.crawls(now) or (
+                load.get("queue", 0.0) >= 1.0 or load.get("slots", 0.0) >= SLOTS_USED):
+            return False
+        if not engine.kind.memory:
+            return True  # not told how much
+        since = sum(d.tokens for d in engine.out if d.sent > engine.load_at or "memory" not in load)
+        return since * self.fronts + completion.prompt + completion.answer < (
+            MEMORY_USED - load.get("memory", 0.0)) * engine.kind.memory
+
+    def write(self, completion: Completion, reader: Engine, now: float) -> bool:  # two near the reader
+        able = [e for e in self.writers if self.usable(e, completion) and completion.may_go_to(e, now)]
+        near = [e for e in able if e.zone == reader.zone]
+        pools = [e for e in near if e.cell == reader.cell], near, able
+        waited = now - completion.held_since >= self.hold
+        fit = next(filter(None, ([e for e in pool if self.has_room(e, completion)] for pool in pools)), [])
+        if waited and not fit:  # a state may not be held on
+            fit = [e for e in able if not e.closed(completion.origin, now, self.tightest)] or able
+        if fit:
+            pair = self.random.sample(fit, 2) if len(fit) > 2 else fit
+            self.send(completion, min(pair, key=lambda e: e.tokens / max(e.size, 1e-3)), False)
+        elif waited:  # it is read anew once a writer can be had
+            completion.let_go()
+        return bool(fit)
+
+    def usable(self, engine: Engine, completion: Completion) -> bool:
+        slow_start, free = self.slow_start, not engine.trickle or len(engine.unanswered) < engine.trickle
+        return free and (
+            not slow_start.cold(engine) or slow_start.takes(engine, completion.session, self.unheard))
+
+    def send(self, completion: Completion, engine: Engine, reading: bool) -> None:
+        now = self.clock.now
+        new = completion.prompt - engine.kept(completion)
+        local = not reading and completion.state is None
+        dispatch = Dispatch(engine, len(completion.dispatches), reading, local, completion.prompt, new, now)
+        if dispatch.local:
+            engine.keep(completion)
+            remember(self.last_mixed, completion.session, engine)
+        self.read += reading or dispatch.local
+        completion.dispatches.append(dispatch)
+        completion.out = dispatch
+        engine.out.append(dispatch)
+        if self.slow_start.cold(engine):
+            engine.cold_sends.append(now)
+        once = dispatch.local or (not reading and completion.workload.effect is Effect.NON_IDEMPOTENT)
+        share = 1.0 if once or self.jammed else TRY_SHARE  # in a jam a second try is more work, and later
+        patience = share * (completion.due - now)
+        if share < 1.0:
+            # Guards against engines and lines that fall silent: what comes after the target is worth little,
+            # and a client timeout is several. Where few reads are answered it is their queues: reads given up
+            # in them leave nothing kept and are read anew elsewhere, so they are waited for as much longer.
+            # Could harm where many engines fall silent at once.
+            patience = min(patience, WAITS * completion.target * self.unheard)
+        completion.door.send(engine.number, patience)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,10 +5,10 @@
 
 import pytest
 
-from heathford.choice import Completion, Router
 from heathford.core.core import Core, Taken
 from heathford.core.doors import CallEvents, Endpoint
 from heathford.interface import Effect, Group, Health, Kind, Role, Verdict, Workload
+from heathford.policy import Completion, Router
 
 pytest_plugins = ["pytester", "known_red"]
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -7,9 +7,9 @@
 import pytest
 from conftest import Client, Instance
 
-from heathford.choice import Completion
 from heathford.core.core import Dispatch, Taken
 from heathford.interface import Effect, Health, Verdict
+from heathford.policy import Completion
 
 New = Callable[..., Instance]
 FLEET = ((10, 0), (12, 1), (13, 1))
@@ -138,18 +138,18 @@
     assert client.finals == ["aborted: out of time"] and not i.core.live and i.core.tally.late == 1
 
 
-@pytest.mark.parametrize("where", ["placed", "hopeless", "risky"])
+@pytest.mark.parametrize("where", ["placed", "has_taker", "risky"])
 def test_one_completion_whose_decision_raises_is_aborted_alone(
     instance: New, monkeypatch: pytest.MonkeyPatch, where: str
 ) -> None:
     i = instance()
     i.engines(*FLEET)
     victim: list[Any] = []
-    owner = type(i.core.router) if where == "placed" else Completion
+    owner = Completion if where == "risky" else type(i.core.router)
     true = getattr(owner, where)
 
     def faulty(self: Any, *args: Any) -> Any:
-        if (args[0] if where == "placed" else self) in victim:
+        if (self if where == "risky" else args[0]) in victim:
             raise ZeroDivisionError("seeded")
         return true(self, *args)
     monkeypatch.setattr(owner, where, faulty)
--- a/tests/test_module_play.py
+++ b/tests/test_module_play.py
@@ -14,8 +14,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from heathford.choice import Completion, Router
 from heathford.interface import NEVER_RAN, Effect, Group, Health, Kind, Role, Verdict, Workload
+from heathford.policy import Completion, Router
 
 DAY = 12.0  # s in which completions arrive
 FAILURES = (Verdict.ERROR, Verdict.BROKEN, Verdict.UNREACHABLE, Verdict.FULL, Verdict.UNSENT)
--- a/tests/test_choice.py
+++ b/tests/test_policy.py
@@ -8,8 +8,10 @@
 import pytest
 from conftest import KINDS, Bench
 
-from heathford.choice import Engine, Fit, Router, mixed_features, read_features
 from heathford.interface import Effect, Group, Health, Kind, Role, Verdict, Workload
+from heathford.policy import Router
+from heathford.policy.engine_state import Engine
+from heathford.policy.estimators import Fit, mixed_features, read_features
 
 New = Callable[..., Bench]
 FLEET = ((10, 0), (11, 0), (12, 1), (13, 1), (14, 2))
@@ -367,7 +369,7 @@
         b.engines((20, 0), started=start)
         engine = b.router.engines[20]
         c = b.take()
-        b.router.recent.extend(texts_for_each(b.router, Role.READER))
+        b.router.slow_start.recent.extend(texts_for_each(b.router, Role.READER))
         engine.trickle = 0
         b.router.read = b.router.heard = 0.0
         for i in range(int(-10 * per_second), int(8 * per_second) + 1):
@@ -394,7 +396,7 @@
     c = b.take()
     b.router.read, b.router.heard = 40.0, 40.0 * answered
     b.engines((20, 0), started=b.now)
-    b.router.recent.extend(texts_for_each(b.router, Role.READER))
+    b.router.slow_start.recent.extend(texts_for_each(b.router, Role.READER))
     engine = b.router.engines[20]
     let_in = 0
     for i in range(1000):
@@ -426,13 +428,13 @@
     b.engines(*[(i, 0) for i in range(1024)], started=b.now)
     b.now += 0.1
     looks = 0
-    cold = b.router.cold
+    cold = b.router.slow_start.cold
 
     def counted(engine: Engine) -> bool:
         nonlocal looks
         looks += 1
         return cold(engine)
-    monkeypatch.setattr(b.router, "cold", counted)
+    monkeypatch.setattr(b.router.slow_start, "cold", counted)
     b.take(5000)
     assert 1024 <= looks <= 16 * 1024
 
@@ -729,7 +731,8 @@
     b.engines((13, 1), started=-2.0)  # before it began: cold still
     b.router.decide()
     assert (("subscribe",) in b.asked()) == subscribe
-    assert b.router.cold(b.router.engines[13]) and not b.router.cold(b.router.engines[12])
+    cold = b.router.slow_start.cold
+    assert cold(b.router.engines[13]) and not cold(b.router.engines[12])
     b.take()
     assert b.asked() == [("send", 10)]
 
--- a/tests/test_slow_start_fleet.py
+++ b/tests/test_slow_start_fleet.py
@@ -13,8 +13,8 @@
 
 import pytest
 
-from heathford.choice import Completion, Router
 from heathford.interface import Effect, Group, Health, Kind, Role, Verdict, Workload
+from heathford.policy import Completion, Router
 
 WINDOW = 1.0  # s in which the rule counts
 WARM_AFTER = 9.0  # s
