KNOWN-RED.txt is checked before worker processes start

Cause: with the suite in several processes a listed test that does not exist ended the run as an internal error without a word of it (seen: 'no such test' 0 times in the output). Change: the file and the names it lists are checked when pytest is configured; what only collection can tell (a parameter) is still refused there. Two tests with two processes.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -52,12 +52,33 @@
     return [entry.node_id for entry in entries if entry.node_id not in known]
 
 
+def unknown_to(root: Path, entries: Sequence[KnownFailure]) -> list[str]:
+    """Return the listed tests whose file does not define them; told before any test is collected."""
+    unknown = []
+    for entry in entries:
+        file, _, name = entry.node_id.partition("::")
+        function = name.rpartition("::")[2].partition("[")[0]
+        path = root / file
+        if not function or not path.is_file() or f"def {function}(" not in path.read_text():
+            unknown.append(entry.node_id)
+    return unknown
+
+
 def read(root: Path) -> list[KnownFailure]:
     """Return the entries of the file at the root; none if there is no file."""
     path = root / FILE_NAME
     return parse(path.read_text()) if path.exists() else []
 
 
+def pytest_configure(config: pytest.Config) -> None:
+    """Refuse a file that breaks its rules, before workers are started that could not tell it."""
+    try:
+        if unknown := unknown_to(config.rootpath, read(config.rootpath)):
+            raise KnownRedError(f"{FILE_NAME}: no such test: {', '.join(unknown)}")
+    except KnownRedError as error:
+        raise pytest.UsageError(str(error)) from None
+
+
 @pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     """Mark the listed tests as expected to fail, and refuse a file that breaks its rules."""
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -16,15 +16,16 @@
 def project(pytester: pytest.Pytester) -> pytest.Pytester:
     """A project of two tests, one of which fails."""
     shutil.copy(PLUGIN, pytester.path / "known_red.py")
+    pytester.makeconftest('pytest_plugins = ["known_red"]')
     pytester.makeini("[pytest]\ntestpaths = test_it.py\n")
     pytester.makepyfile(test_it="def test_fails():\n    assert False\n\ndef test_passes():\n    pass\n")
     return pytester
 
 
-def run(project: pytest.Pytester, known: str | None) -> pytest.RunResult:
+def run(project: pytest.Pytester, known: str | None, *options: str) -> pytest.RunResult:
     if known is not None:
         (project.path / "KNOWN-RED.txt").write_text(known)
-    return project.runpytest_inprocess("-p", "known_red", "-p", "no:cacheprovider")
+    return project.runpytest_inprocess("-p", "no:cacheprovider", *options)
 
 
 @pytest.mark.parametrize("text, entries", [
@@ -65,8 +66,21 @@
 
 @pytest.mark.parametrize("known", [
     "test_it.py::test_gone | c | issue 3\n", "gone.py::test_fails | c | issue 3\n", f"{FAILS} | c\n",
+    f"{FAILS}[2] | c | issue 3\n", "test_it.py | c | issue 3\n",
     "".join(f"{FAILS}{n} | c | i\n" for n in range(4))])
 def test_a_run_with_a_refused_file_ends_as_an_error(project: pytest.Pytester, known: str) -> None:
     result = run(project, known)
     assert result.ret == pytest.ExitCode.USAGE_ERROR
     result.stderr.fnmatch_lines(["ERROR: KNOWN-RED.txt*"])
+
+
+def test_tests_in_several_processes_are_marked_alike(project: pytest.Pytester) -> None:
+    result = run(project, f"{FAILS} | it is broken | issue 3\n", "-n", "2")
+    result.assert_outcomes(xfailed=1, passed=1)
+    result.stdout.fnmatch_lines([f"known to fail: {FAILS}: it is broken (issue 3)"])
+
+
+def test_several_processes_refuse_a_test_that_does_not_exist(project: pytest.Pytester) -> None:
+    result = run(project, "test_it.py::test_gone | c | issue 3\n", "-n", "2")
+    assert result.ret == pytest.ExitCode.USAGE_ERROR
+    result.stderr.fnmatch_lines(["ERROR: KNOWN-RED.txt: no such test: test_it.py::test_gone"])
