Answers that end with their connection are read; Connection is a list of tokens

Cause, found by reading (wire/http1.py): an answer without a length was refused as nonsense, so a dispatch that ended well counted as an error; 'Connection: keep-alive, close' kept a connection in use, and 'x-closely' would have closed a client's. Change: RFC 9112, 6.3: such a body ends when the engine shuts its side; a reset still breaks it. Lengths are digits alone in answers, as they are in requests. Shown: 13 tests, byte by byte and on a socket.

--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -65,6 +65,10 @@
             # Guards against an answer to nothing: the next dispatch would take it for its own.
             self.close()
 
+    def eof_received(self) -> None:
+        if self.user:
+            self.user.closed_by_engine()
+
     def connection_lost(self, problem: Exception | None) -> None:
         self.uncount()
         if self.user:
@@ -184,6 +188,10 @@
     def lost(self, unwritten: bool) -> None:
         raise NotImplementedError
 
+    def closed_by_engine(self) -> None:
+        """The engine has ended its side in order, which may be how it ends its answer."""
+        raise NotImplementedError
+
     def unreached(self) -> None:
         raise NotImplementedError
 
@@ -247,6 +255,11 @@
         self.connection = None
         self.end(Verdict.UNREACHABLE if unwritten else Verdict.BROKEN)
 
+    def closed_by_engine(self) -> None:
+        self.answer.response.closed()
+        if self.answer.response.done:
+            self.heard(b"")
+
     def heard(self, data: bytes) -> None:
         try:
             events = self.answer.feed(data)
@@ -306,6 +319,11 @@
         self.connection = None
         self.end(0)
 
+    def closed_by_engine(self) -> None:
+        self.response.closed()
+        if self.response.done:
+            self.end(self.response.status)
+
     def unreached(self) -> None:
         self.end(0)
 
--- a/heathford/wire/http1.py
+++ b/heathford/wire/http1.py
@@ -13,6 +13,7 @@
 
 LONGEST_CHUNK = 1 << 30  # bytes: where nothing stricter is stated, any that is no nonsense
 MOST_TRAILERS = 64  # fields: memory is bounded whatever comes
+LENGTH = re.compile(r"[0-9]{1,15}")  # int() alone takes signs, underscores and other scripts' digits
 SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}")  # int() alone takes signs, underscores and 0x too
 
 
@@ -121,6 +122,7 @@
         super().__init__(longest_line, longest_chunk)
         self.strict = strict
         self.status = 0
+        self.until_close = False  # the body ends with the connection
 
     def feed(self, data: bytes) -> Iterator[bytes]:
         self.buffer += data
@@ -136,6 +138,16 @@
             self.keep = False
             self.buffer.clear()
 
+    def closed(self) -> None:
+        """The other side has closed: a body without a stated length is whole now."""
+        if self.until_close:
+            self.done = True
+
+    def read_rest(self) -> bytes | None:
+        part = bytes(self.buffer)
+        self.buffer.clear()
+        return part or None
+
     def read_head(self) -> bytes | None:
         end = self.buffer.find(b"\r\n\r\n")
         if end < 0:
@@ -154,21 +166,30 @@
         if self.status < 200:  # an interim response: the real one follows
             self.headers = {}
             return b""
-        self.keep = self.headers.get("connection", "").lower() != "close"
+        self.keep = "close" not in tokens_of(self.headers.get("connection", ""))
         if self.headers.get("transfer-encoding", "").lower() == "chunked":
             self.reads = self.read_size
         elif self.status in (204, 304):
             self.done = True
         else:
-            length = self.headers.get("content-length", "")
-            if not length.isdigit():
-                raise NonsenseError("a body of no stated length")
+            length = self.headers.get("content-length")
+            if length is None:  # RFC 9112, 6.3: the body ends with the connection
+                self.until_close, self.keep = True, False
+                self.reads = self.read_rest
+                return b""
+            if not LENGTH.fullmatch(length):
+                raise NonsenseError("a length that is no number")
             self.left = int(length)
             self.reads = self.read_body
             self.done = self.left == 0
         return b""
 
 
+def tokens_of(value: str) -> list[str]:
+    """The tokens of a field that lists them, in lower case."""
+    return [token.strip().lower() for token in value.split(",")]
+
+
 def fields_of(lines: list[str]) -> dict[str, str]:
     fields = {}
     for line in lines:
--- a/heathford/wire/requests.py
+++ b/heathford/wire/requests.py
@@ -6,13 +6,12 @@
 
 import re
 
-from heathford.wire.http1 import Message, NonsenseError
+from heathford.wire.http1 import LENGTH, Message, NonsenseError, tokens_of
 
 METHOD = re.compile(rb"[A-Z]{1,16}( |$)|\r$")  # what a request can begin with, as far as it has come
 FIRST = re.compile(r"([A-Z]{1,16}) (/[!-~]*) HTTP/(\d)\.(\d)")
 NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 VALUE = re.compile(r"[\t -~\x80-\xff]*")
-LENGTH = re.compile(r"[0-9]{1,15}")  # int() alone takes signs, underscores and other scripts' digits
 
 
 class RefusedError(Exception):
@@ -80,7 +79,7 @@
                 self.repeated[name] = None
             self.headers[name] = value
         self.method, self.target = parts[1], parts[2]
-        self.keep = "close" not in self.headers.get("connection", "").lower()
+        self.keep = "close" not in tokens_of(self.headers.get("connection", ""))
         self.frame()
         return b""
 
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -23,6 +23,41 @@
     return passed, None
 
 
+UNTIL_CLOSE = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
+READ_UNTIL_CLOSE = b"HTTP/1.1 202 Accepted\r\nConnection: close\r\n\r\n"
+
+
+@pytest.mark.parametrize("said, reading, passed, verdict", [
+    (UNTIL_CLOSE + ALL, False, ALL, (Verdict.FINISHED, 4)),
+    (UNTIL_CLOSE + ALL[:-3], False, ALL.removesuffix(EVENTS[-1]), "nonsense"),
+    (READ_UNTIL_CLOSE + b'{"cached_tokens":4}', True, b"", (Verdict.READ, 4)),
+    (READ_UNTIL_CLOSE + b'{"cached_tok', True, b"", "nonsense"),
+    (READ_UNTIL_CLOSE + b"x" * 300_000, True, b"", "nonsense")])
+def test_an_answer_without_a_length_ends_with_its_connection(
+    said: bytes, reading: bool, passed: bytes, verdict: object
+) -> None:
+    for step in (1, 7, len(said)):
+        answer, got = Answer(reading), b""
+        try:
+            for at in range(0, len(said), step):
+                got += answer.feed(said[at:at + step])
+            assert not answer.response.done and not answer.keep
+            answer.response.closed()
+            found: object = answer.verdict()
+        except NonsenseError:
+            found = "nonsense"
+        assert (got, found) == (passed, verdict)
+
+
+@pytest.mark.parametrize("field, keep", [
+    ("close", False), ("Close", False), ("keep-alive", True), ("keep-alive, close", False),
+    ("x-closely", True), ("close , te", False)])
+def test_which_answers_end_their_connection(field: str, keep: bool) -> None:
+    answer = Answer(reading=False)
+    answer.feed(f"HTTP/1.1 500 X\r\nConnection: {field}\r\nContent-Length: 0\r\n\r\n".encode())
+    assert answer.response.done and answer.keep == keep
+
+
 @pytest.mark.parametrize("said, reading, passed, verdict", [
     (GOOD, False, ALL, (Verdict.FINISHED, 4)), (READ, True, b"", (Verdict.READ, 4)),
     (whole(202, b'{"cached_tokens":-3}'), True, b"", (Verdict.READ, 0)),
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -3,6 +3,7 @@
 import asyncio
 import select
 import socket
+import struct
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
@@ -187,6 +188,26 @@
     asyncio.run(day())
 
 
+@pytest.mark.parametrize("reset", [False, True])
+def test_an_answer_may_end_with_its_connection_unless_it_broke(engine: Engine, reset: bool) -> None:
+    async def day() -> None:
+        link = link_of()
+        heard = Heard(lambda: None)
+        send(link, engine, heard)
+        held = await engine.accepted()
+        await until(lambda: bool(select.select([held], [], [], 0.0)[0]))
+        held.recv(65_536)
+        held.send(b"HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nConnection: close\r\n\r\nbusy")
+        await asyncio.sleep(0.05)
+        if reset:
+            held.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        held.close()
+        await until(lambda: bool(heard.ends))
+        assert heard.ends == [(Verdict.BROKEN if reset else Verdict.FULL, None)] and link.pools.open == 0
+
+    asyncio.run(day())
+
+
 def test_what_has_begun_is_not_withdrawn(engine: Engine) -> None:
     async def day() -> None:
         link = link_of()
