Logs that nobody reads can't stop a front node: dropped and counted

Suspect of a front node that stood still: a log line written to a standard error that nobody reads blocks the loop once the pipe is full (structlog's PrintLogger, cli/logs.py). Found by reading; not shown to be the cause of the stand-stills.

--- a/heathford/discovery/follower.py
+++ b/heathford/discovery/follower.py
@@ -186,5 +186,5 @@
         self.tell(change)
 
     def tell(self, change: tuple[bool, list[Row]] | None) -> None:
-        if change and any(change):
+        if change and (any(change) or self.endpoints.passed):  # what can't be read is told as well
             self.changed(ListChange(*change))
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -18,6 +18,7 @@
 from heathford.discovery.client import DiscoveryClient
 from heathford.discovery.follower import ListChange
 from heathford.fleet.instances import Instances
+from heathford.log_stream import LOGS
 from heathford.platform.door import SWEEP, Door
 from heathford.platform.link import PlatformLink
 from heathford.platform.start import StartError, address_of, from_environment, seed_of, told
@@ -136,7 +137,7 @@
             refused=dict(self.door.refused), ends={v.value: n for v, n in self.link.ends.items()},
             spoilt=self.link.spoilt, unreleased=self.link.unreleased, engines=len(router.engines),
             conns=self.link.pools.open, version=self.instances.version, lag=round(self.lag, 3),
-            mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
+            logs_dropped=LOGS.dropped, mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
             cpu=round(time.process_time(), 2))
         self.lag = 0.0
         self.loop.call_later(TELL, self.tell)
