A reload beside an end: a test of both signals in one second

SIGHUP and SIGTERM in either order and several times, with a moved address and with a file that is half written: what was taken is answered, the process ends with 0. 6 cases on loopback, all pass as the program is; no change was needed.

--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -148,3 +148,30 @@
         client.say(1_000 * b"x")
         assert await client.reader.read() == b""
     play(tmp_path, [reader(), writer()], day)
+
+
+@pytest.mark.parametrize("signals", [
+    pytest.param((signal.SIGHUP, signal.SIGTERM), id="HUP, TERM"),
+    pytest.param((signal.SIGTERM, signal.SIGHUP), id="TERM, HUP"),
+    pytest.param((signal.SIGHUP, signal.SIGHUP, signal.SIGTERM, signal.SIGHUP), id="several")])
+@pytest.mark.parametrize("config", ["moved", "half written"])
+def test_a_reload_beside_an_end_loses_nothing(
+    tmp_path: Path, signals: tuple[signal.Signals, ...], config: str
+) -> None:
+    """What was taken is answered, and the process ends, whatever the file says by then."""
+    a, b = reader(), writer("hold")
+
+    async def day(node: Node) -> None:
+        waiting = asyncio.create_task(node.ask("c0"))
+        await b.until(1)
+        text = node.path.read_bytes()
+        moved = text.replace(node.agent.address.encode(), b"127.0.0.1:1")
+        node.path.write_bytes(moved if config == "moved" else text[:len(text) // 2])
+        assert node.process
+        for each in signals:
+            node.process.send_signal(each)
+            await asyncio.sleep(0.05)
+        b.held.set()
+        assert await waiting == (200, ALL, True)
+        assert await node.process.wait() == 0
+    play(tmp_path, [a, b], day)
