Drop a counter that nothing reads

Instances.failures went out of use with the follower's own count of failures. 412 tests of the list, discovery and the front node's process pass.

--- a/heathford/fleet/instances.py
+++ b/heathford/fleet/instances.py
@@ -32,7 +32,6 @@
         self.rows: dict[str, Row] = {}  # as last read, by uid
         self.started: dict[str, tuple[int, float]] = {}  # as told, and s on the front's clock
         self.passed: dict[str, str] = {}
-        self.failures = 0
 
     def told(
         self, body: bytes, now: float, wall: float, listed: bool = False
