--- /dev/null
+++ b/heathford/platform/client_server.py
@@ -0,0 +1,86 @@
+"""All clients' connections of one front node: how many there may be, and which make way."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Mapping
+
+from heathford.core.core import Core, Taken
+from heathford.platform.client_connection import ClientConnection
+from heathford.platform.responses import whole
+from heathford.wire.request_reader import ReadAhead
+
+FIRST = 2.0  # s for a connection's first byte: silent ones are owed a close within 3
+IDLE = 30.0  # s that a connection is kept between requests: clients come back within seconds or not at all
+SAYS = 0.5  # s within which a client that connects begins to ask
+WRITES = 2.6  # s from connecting for a first request that has begun: it is still coming, slowly
+SWEEP = 0.25  # s between two looks at what idles: small beside FIRST
+LINGER = 1.0  # s for which a connection that we have shut is still read: closed over unread bytes it would be
+# reset, and what the client has not read yet would be lost
+LINGER_AT_END = 0.3  # s of the same while the process ends: it may be killed 0.7 s after the longest deadline
+
+
+class ClientServer:
+    """All clients' connections of one front. max_connections: in all."""
+
+    def __init__(self, core: Core, workloads: Mapping[str, int], max_connections: int) -> None:
+        self.core, self.workloads, self.max_connections = core, workloads, max_connections
+        self.loop = asyncio.get_running_loop()
+        self.connections: dict[ClientConnection, None] = {}
+        self.open: dict[str, Taken] = {}  # completions that clients wait for, by the clients' names
+        self.stopping = False
+        self.refused: Counter[int] = Counter()  # by status: what was never taken
+        self.evicted = 0  # connections closed to make room
+        self.read_ahead = ReadAhead()
+
+    def accept(self) -> ClientConnection:
+        return ClientConnection(self)
+
+    def opened(self, connection: ClientConnection) -> None:
+        if len(self.connections) >= self.max_connections and not self.make_room():
+            self.evicted += 1
+            connection.drop()  # unread: an answer would need the descriptor until its client has read it
+        else:
+            self.connections[connection] = None
+
+    def make_room(self) -> bool:
+        """Guards against clients that connect by the hundreds and say nothing: those without an open request
+        make way. First whose connection we have shut, then who connected and said nothing for longer than a
+        client that wants something does, who was answered and stays, who is slow to ask, and only then who
+        has just come. Could harm a client whose connection is closed as it asks; it asks again on a new one.
+        """
+        now = self.loop.time()
+
+        def rank(connection: ClientConnection) -> tuple[int, float]:
+            if connection.closing and connection.flushed:
+                return -1, connection.since
+            if connection.reader.begun:
+                return 2, connection.since
+            if connection.served:
+                return 1, connection.since
+            return (0 if now - connection.since >= SAYS else 3), connection.since
+        oldest = min((c for c in self.connections if c.taken is None), key=rank, default=None)
+        if oldest is None:
+            return False
+        self.evicted += 1
+        oldest.drop()
+        return True
+
+    def sweep(self, now: float) -> None:
+        linger = LINGER_AT_END if self.stopping else LINGER
+        for connection in list(self.connections):
+            if connection.taken is not None:
+                continue
+            if connection.closing:
+                if now - connection.since >= (linger if connection.flushed else IDLE):
+                    connection.drop()
+            elif connection.reader.begun or not connection.served:
+                if now - connection.since >= (WRITES if connection.reader.begun else FIRST):
+                    self.refused[408] += 1
+                    connection.answer(whole(408, "no whole request in time", True), False)
+            elif now - connection.since >= IDLE:
+                connection.finish()
+
+    def close_idle(self) -> None:
+        for connection in list(self.connections):
+            if connection.taken is None and not connection.reader.pending and not connection.closing:
+                connection.finish()
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -19,7 +19,7 @@
 from heathford.discovery.follower import ListChange
 from heathford.fleet.instances import Instances
 from heathford.log_stream import LOGS
-from heathford.platform.door import SWEEP, Door
+from heathford.platform.client_server import SWEEP, ClientServer
 from heathford.platform.link import PlatformLink
 from heathford.platform.start import StartError, address_of, from_environment, seed_of, told
 from heathford.wire.http1 import NonsenseError
@@ -79,7 +79,7 @@
         self.core = Core(
             self.loop, self.link, name, seed_of(told), answer_margin=ANSWER_MARGIN,
             subscribe=settings.get("registryMode") == "subscribe", **figures)
-        self.door = Door(
+        self.clients = ClientServer(
             self.core, {c["name"]: place for place, c in enumerate(settings["categories"])},
             descriptors.clients)
         self.watch = DiscoveryClient(*discovery, self.instances, self.list_changed)
@@ -109,7 +109,7 @@
             raise StartError(f"NODE_LISTEN can't be listened on: {problem}") from None
         sock.setblocking(False)
         # Its backlog is also how many asyncio accepts at once, before any that makes way is really closed.
-        self.server = await self.loop.create_server(self.door.connection, sock=sock, backlog=ACCEPTED)
+        self.server = await self.loop.create_server(self.clients.accept, sock=sock, backlog=ACCEPTED)
         sock.listen(BACKLOG)
         self.listen = sock.getsockname()[:2]
         self.sweep()
@@ -121,7 +121,7 @@
     def sweep(self, due: float = 0.0) -> None:
         now = self.loop.time()
         self.lag = max(self.lag, now - due if due else 0.0)
-        self.door.sweep(now)
+        self.clients.sweep(now)
         self.link.pools.sweep(now)
         self.sweeps += 1
         if self.sweeps % TIDY == 0:
@@ -134,8 +134,8 @@
         log.info(
             "state", taken=tally.taken, finished=tally.finished, limited=tally.rate_limited,
             aborted=tally.aborted, left=tally.left, late=tally.late, faults=tally.faults,
-            live=len(self.core.live), clients=len(self.door.clients), out=self.door.turned_out,
-            refused=dict(self.door.refused), ends={v.value: n for v, n in self.link.ends.items()},
+            live=len(self.core.live), clients=len(self.clients.connections), out=self.clients.evicted,
+            refused=dict(self.clients.refused), ends={v.value: n for v, n in self.link.ends.items()},
             spoilt=self.link.spoilt, unreleased=self.link.unreleased, engines=len(router.engines),
             conns=self.link.pools.open, version=self.instances.version, lag=round(self.lag, 3),
             logs_dropped=LOGS.dropped, mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
@@ -157,9 +157,9 @@
             self.watch.move(*discovery)
 
     def terminate(self) -> None:
-        if not self.door.stopping:
-            self.door.stopping = True
-            log.info("ending", open=self.core.open, clients=len(self.door.clients))
+        if not self.clients.stopping:
+            self.clients.stopping = True
+            log.info("ending", open=self.core.open, clients=len(self.clients.connections))
             self.ending.set()
 
     async def run(self) -> None:
@@ -175,9 +175,9 @@
         an answer streams: who must have it sooner kills us."""
         await asyncio.sleep(STILL_ASKED)
         while True:
-            self.door.close_idle()
-            self.door.sweep(self.loop.time())
-            if not self.core.live and not self.door.clients and not self.link.tasks.running:
+            self.clients.close_idle()
+            self.clients.sweep(self.loop.time())
+            if not self.core.live and not self.clients.connections and not self.link.tasks.running:
                 break
             await asyncio.sleep(END_LOOK)
         if self.server:
