No attempt after an unread close; what was read is answered before a connection is ended

The orders were found by reading; each is made to happen by a test with plain sockets as peers (tests/raw_peers.py: what a test does between two awaits happens while the loop is held up).

Causes and changes: - client_connection: data and the close behind it are read in parts, one a turn of the loop, so an attempt could begin while the close lay in the kernel. Costs one call a attempt. - link: a request of which part has left is withdrawn as well when its client goes; the rest would make it whole. - client_server.make_room aborted a connection whose next request waited for its turn, or lay unread, or whose answer was still being written; these stay now, and half a request is told 503. - idle time-out, close at the end, end of an answer while the process ends: the socket is looked at before it is shut. - process: connections that wait to be accepted at the last look are served; a request that comes later than 0.6 s after SIGTERM is refused, since it might be out when the process is killed. - the client's budget counts from the first byte read of its request, not the last: also what engines are told.

--- a/benchmarks/front_cost.py
+++ b/benchmarks/front_cost.py
@@ -42,6 +42,9 @@
         self.times, self.intended = times, intended
         self.over = asyncio.get_running_loop().create_future()
 
+    def wanted(self) -> bool:
+        return True
+
     def first_token(self) -> None:
         took = asyncio.get_running_loop().time() - self.intended
         self.times.record_value(max(1, int(took * 1e6)))
--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -18,6 +18,8 @@
 
 FAULTS = 64  # faults in one decision after which it is left to the next turn: more is a loop, not a fault
 
+DECIDE_AGAIN = 0.05  # s until the next look at what waits after a fault that no request explains
+
 log = structlog.get_logger()
 
 
@@ -43,6 +45,11 @@
         self.streaming = self.over = False
         self.call: Call | None = None
 
+    def wanted(self) -> bool:
+        """Guards against an attempt that begins once its client has gone: the end of its connection may lie
+        unread behind what it sent ahead, or behind what the loop is busy with."""
+        return not self.over and not self.taken.over and self.taken.sink.still_waits()
+
     def first_token(self) -> None:
         if self.over or self.streaming:
             return
@@ -111,8 +118,14 @@
         self.dispatches.append(dispatch)
         self.out = dispatch
         kv = None if dispatch.reading else self.kv
-        dispatch.call = core.link.send(
-            dispatch.endpoint, dispatch.name, self.body, kv, self.mark, timeout, dispatch)
+        try:
+            dispatch.call = core.link.send(
+                dispatch.endpoint, dispatch.name, self.body, kv, self.mark, timeout, dispatch)
+        except Exception as problem:
+            # Guards against an attempt that never began and counts as out for good. Harms nothing: the link
+            # tells of nothing before it has returned.
+            core.fault(problem, None)
+            dispatch.ended(Verdict.UNSENT, 0, {}, {})
 
     def cancel(self, seq: int) -> None:
         if seq < len(self.dispatches):
@@ -120,11 +133,11 @@
 
     def rate_limit(self, retry_after: float) -> None:
         if self.close("rate_limited"):
-            self.core.guarded(lambda: self.sink.rate_limited(retry_after))
+            self.core.guarded(self.sink, lambda: self.sink.rate_limited(retry_after))
 
     def abort(self, why: str = "given up") -> None:
         if self.close("aborted"):
-            self.core.guarded(lambda: self.sink.aborted(why))
+            self.core.guarded(self.sink, lambda: self.sink.aborted(why))
 
     def release(self) -> None:
         if self.state_at:
@@ -149,7 +162,7 @@
 
     def finish(self, reason: str, usage: Mapping[str, Any]) -> None:
         if self.close("finished"):
-            self.core.guarded(lambda: self.sink.finished(reason, usage))
+            self.core.guarded(self.sink, lambda: self.sink.finished(reason, usage))
 
     def let_go(self, dispatch: Dispatch) -> None:
         """Now, before the next dispatch: one that can't connect, or whose bytes reach nobody, stops no clock,
@@ -231,6 +244,7 @@
         self.turn_due = False
         self.count = 0
         self.idle: list[Callable[[], None]] = []  # called once nothing is live
+        self.list_not_taken: Callable[[], None] = lambda: None  # a change of the list has failed: ask anew
         self.router = Router(
             self.clock, self, seed, kinds, workloads, number, fronts, zone, try_limit, pin_limit, may_cancel,
             may_delay_retries, longest_retry, warm_after, cold_from, cold_multiple, cold_window,
@@ -280,9 +294,18 @@
         def play() -> None:
             self.router.list_begins(complete)
             for endpoint, zone, kind, cell, health, size, started in rows:
-                self.endpoints[endpoint.number] = endpoint
-                self.router.list_row(endpoint.number, zone, kind, cell, health, size, started)
-            self.router.list_ends()
+                try:
+                    self.endpoints[endpoint.number] = endpoint
+                    self.router.list_row(endpoint.number, zone, kind, cell, health, size, started)
+                except Exception as problem:
+                    # Guards against one entry that leaves all after it untold, drains among them. Could harm
+                    # by a drain in that entry which is not acted on.
+                    self.fault(problem, None)
+            try:
+                self.router.list_ends()
+            except Exception as problem:
+                self.fault(problem, None)
+                self.list_not_taken()
             if len(self.endpoints) > len(self.router.engines):
                 # Engines come and go under ever new names: only those that the Router still holds are kept.
                 self.endpoints = {n: e for n, e in self.endpoints.items() if n in self.router.engines}
@@ -296,7 +319,8 @@
 
     def tell(self, taken: Taken, say: Callable[[Handle], None]) -> None:
         def play() -> None:
-            if taken.handle and not taken.abandoned:
+            # Also for what was abandoned: else what ends for it now would count as out for good.
+            if taken.handle:
                 say(taken.handle)
         self.happened(taken, play)
 
@@ -342,11 +366,12 @@
             except Exception as problem:
                 culprit = self.culprit(problem)
                 self.fault(problem, culprit)
-                if culprit is None:
-                    return
                 self.router.waiting = [
                     t.handle for t in self.live
                     if t.handle and not t.over and t.out is None and not t.abandoned]
+                if culprit is None:
+                    self.wake(DECIDE_AGAIN)
+                    return
 
     def culprit(self, problem: BaseException) -> Taken | None:
         """The completion whose handle is in hand in the innermost frame that has one."""
@@ -364,12 +389,17 @@
             taken.abandon("its decision failed")
             self.happened(taken, lambda: None)
 
-    def guarded(self, call: Callable[[], None]) -> None:
-        """Guards against a sink that raises: its client is lost, nobody else."""
+    def guarded(self, sink: Sink, call: Callable[[], None]) -> None:
+        """Guards against a sink that raises: its client is told that its request failed, nobody else hears of
+        it. Could harm a client to which part of another answer has gone out; its sink knows."""
         try:
             call()
         except Exception as problem:
             log.error("sink failed", exc_info=problem)
+            try:
+                sink.aborted("its answer could not be written")
+            except Exception as second:
+                log.error("sink failed", exc_info=second)
 
     @property
     def open(self) -> int:
--- a/heathford/core/doors.py
+++ b/heathford/core/doors.py
@@ -10,6 +10,10 @@
 class Sink(Protocol):
     """Where a completion's tokens and its one final answer go; the core calls one of the last three, once."""
 
+    def still_waits(self) -> bool:
+        """Whether the client is still there, as far as this machine knows by now; asked right before an
+        attempt begins. False has been told to the core by `leave` as well."""
+
     def tokens(self, part: Any) -> None:
         """As the link tells them, untouched: text, or events as bytes."""
 
@@ -46,6 +50,10 @@
 class CallEvents(Protocol):
     """What a link tells of one dispatch: any number of tokens, then ended, once, and nothing after it."""
 
+    def wanted(self) -> bool:
+        """Asked right before the first byte leaves: whether the attempt is to begin. If not, the link ends it
+        as UNSENT, unless that has happened meanwhile."""
+
     def first_token(self) -> None: ...
 
     def tokens(self, part: Any) -> None: ...
--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -185,8 +185,9 @@
         except (StreamClosedError, OSError):
             self.end(Verdict.UNREACHABLE)
             return
-        if self.over:
+        if self.over or not self.events.wanted():
             self.link.give_back(self.pool, stream, True)
+            self.end(Verdict.UNSENT)
             return
         self.stream = stream
         self.expect(until - loop.time(), Verdict.TIMED_OUT)
--- a/heathford/identity/shared.py
+++ b/heathford/identity/shared.py
@@ -49,6 +49,9 @@
 
     # heathford.core.doors.Sink
 
+    def still_waits(self) -> bool:
+        return True
+
     def tokens(self, text: str) -> None:
         self.parts.append(text)
         for listener in list(self.listeners):
--- a/heathford/platform/asking.py
+++ b/heathford/platform/asking.py
@@ -35,7 +35,8 @@
     received: float,
 ) -> Taken:
     """Takes what was asked, or raises RefusedError: before the core has seen any of it. workloads: their
-    places by name; open_names: completions that clients hold open here."""
+    places by name; open_names: completions that clients hold open here. received: s on the loop's clock from
+    which the client's budget counts."""
     if request.target.partition("?")[0] != PATH:
         raise RefusedError(404, "nothing here")
     if request.method != "POST":
--- a/heathford/platform/client_connection.py
+++ b/heathford/platform/client_connection.py
@@ -8,16 +8,21 @@
 from collections.abc import Mapping
 from typing import Any, Protocol
 
+import structlog
+
 from heathford.core.core import Core, Taken
 from heathford.platform.asking import ask
 from heathford.platform.responses import CLOSING, STREAM, whole
 from heathford.wire.request_reader import ReadAhead, Received, RequestReader, Unreadable
 from heathford.wire.requests import RefusedError, Request
+from heathford.wire.socket_state import state_of
 
 LONGEST_HEAD = 16_384  # bytes: clients' heads have a few hundred
 LONGEST_BODY = 262_144  # bytes: what the protocol allows
 UNSENT = 1_048_576  # bytes not yet taken by a client that reads slowly, after which it has left
 
+log = structlog.get_logger()
+
 
 class Clients(Protocol):
     """What one connection needs of the server that accepted it."""
@@ -30,6 +35,7 @@
     read_ahead: ReadAhead
     refused: Counter[int]
     stopping: bool
+    refuses_from: float
 
     def opened(self, connection: "ClientConnection") -> None:
         """A connection has been accepted."""
@@ -62,7 +68,11 @@
             return
         if self.served and not self.reader.pending and self.taken is None:
             self.since = self.clients.loop.time()
-        self.reader.feed(data, self.clients.loop.time())
+        try:
+            self.reader.feed(data, self.clients.loop.time())
+        except Exception as problem:
+            log.error("request not read", exc_info=problem)
+            self.reader.give_up(RefusedError(500, "the request could not be read"))
         self.advance()
 
     def eof_received(self) -> None:
@@ -76,6 +86,7 @@
         self.leave()
 
     def leave(self) -> None:
+        """The client has gone."""
         self.closing = True
         self.reader.close()
         taken = self.taken
@@ -108,15 +119,22 @@
         try:
             if not received.kept:
                 raise RefusedError(503, "too many requests at once")
-            self.take(request, received.at)
+            if received.ended >= clients.refuses_from:
+                raise RefusedError(503, "this front node is ending")
+            self.take(request, received.began)
         except RefusedError as problem:
             self.refuse(problem, request.keep)
-
-    def take(self, request: Request, at: float) -> None:
-        """Hand the request to the core. Raises RefusedError: before the core has seen any of it."""
+        except Exception as problem:
+            log.error("request not taken", exc_info=problem)
+            self.refuse(RefusedError(500, "the request could not be taken"), request.keep)
+
+    def take(self, request: Request, began: float) -> None:
+        """Hand the request to the core. Raises RefusedError: before the core has seen any of it. The client's
+        budget counts from the first byte that came: it may have waited since then, however slowly it wrote,
+        however long the request stood behind another, and an engine must not be told more."""
         clients = self.clients
         self.begun = False
-        self.taken = ask(clients.core, self, request, clients.workloads, clients.open, at)
+        self.taken = ask(clients.core, self, request, clients.workloads, clients.open, began)
         self.name = request.headers["x-call-id"]
         request.body = bytearray()  # the core has it
         clients.open[self.name] = self.taken
@@ -153,6 +171,35 @@
         else:
             self.finish()
 
+    @property
+    def busy(self) -> bool:
+        """A request that was read whole has not been answered yet."""
+        return self.taken is not None or self.reader.has_whole
+
+    @property
+    def unread(self) -> bool:
+        """Bytes, or the client's end, have reached this machine and not this program."""
+        return state_of(self.transport).unread
+
+    def finish_if_idle(self) -> bool:
+        """Shut a connection that nothing is owed on. Guards against a shutdown behind a request that waits in
+        the kernel: it would be read, and never answered. It is looked at again once that has been read."""
+        if self.closing or self.busy or self.reader.begun or self.unread:
+            return False
+        self.finish()
+        return True
+
+    def evict(self) -> bool:
+        """Make way for another connection; not where an answer is owed or on its way, or more has come. Half
+        a request is told why."""
+        if self.busy or not self.flushed or (self.unread and not self.closing):
+            return False
+        if self.reader.begun:
+            self.clients.refused[503] += 1
+            self.write(whole(503, "no room for a request so slow", True))
+        self.drop()
+        return True
+
     def finish(self) -> None:
         """Shuts our side once all is written, and reads on until the client closes too: closed over bytes
         that nobody has read, the connection would be reset and the answer lost on its way. What is read after
@@ -178,6 +225,11 @@
 
     # What the core says: heathford.core.doors.Sink.
 
+    def still_waits(self) -> bool:
+        if self.taken is not None and state_of(self.transport).ended:
+            self.leave()
+        return self.taken is not None
+
     def tokens(self, part: Any) -> None:
         chunk = b"%x\r\n%b\r\n" % (len(part), part)
         if not self.begun:
@@ -188,7 +240,7 @@
     @property
     def asks_on(self) -> bool:
         """More has come behind the request in hand. It was taken by this machine and is owed an answer."""
-        return self.reader.pending
+        return self.reader.pending or self.unread
 
     @property
     def ends_after(self) -> bool:
--- a/heathford/platform/client_server.py
+++ b/heathford/platform/client_server.py
@@ -3,6 +3,9 @@
 import asyncio
 from collections import Counter
 from collections.abc import Mapping
+from math import inf
+
+import structlog
 
 from heathford.core.core import Core, Taken
 from heathford.platform.client_connection import ClientConnection
@@ -17,6 +20,9 @@
 LINGER = 1.0  # s for which a connection that we have shut is still read: closed over unread bytes it would be
 # reset, and what the client has not read yet would be lost
 LINGER_AT_END = 0.3  # s of the same while the process ends: it may be killed 0.7 s after the longest deadline
+STILL_ASKED = 0.6  # s after SIGTERM for which clients may still come
+
+log = structlog.get_logger()
 
 
 class ClientServer:
@@ -28,6 +34,7 @@
         self.connections: dict[ClientConnection, None] = {}
         self.open: dict[str, Taken] = {}  # completions that clients wait for, by the clients' names
         self.stopping = False
+        self.refuses_from = inf  # s on the loop's clock from which new requests are refused
         self.refused: Counter[int] = Counter()  # by status: what was never taken
         self.evicted = 0  # connections closed to make room
         self.read_ahead = ReadAhead()
@@ -43,44 +50,59 @@
             self.connections[connection] = None
 
     def make_room(self) -> bool:
-        """Guards against clients that connect by the hundreds and say nothing: those without an open request
-        make way. First whose connection we have shut, then who connected and said nothing for longer than a
-        client that wants something does, who was answered and stays, who is slow to ask, and only then who
-        has just come. Could harm a client whose connection is closed as it asks; it asks again on a new one.
+        """Evict one connection on which nothing is owed.
+
+        Guards against clients that connect by the hundreds and say nothing. First whose connection we have
+        shut, then who connected and said nothing for longer than a client that wants something does, who was
+        answered and stays, who is slow to ask, and only then who has just come. Could harm a client whose
+        connection is closed as it asks; it asks again on a new one.
         """
         now = self.loop.time()
 
         def rank(connection: ClientConnection) -> tuple[int, float]:
-            if connection.closing and connection.flushed:
+            if connection.closing:
                 return -1, connection.since
             if connection.reader.begun:
                 return 2, connection.since
             if connection.served:
                 return 1, connection.since
             return (0 if now - connection.since >= SAYS else 3), connection.since
-        oldest = min((c for c in self.connections if c.taken is None), key=rank, default=None)
-        if oldest is None:
-            return False
-        self.evicted += 1
-        oldest.drop()
-        return True
+        for connection in sorted(self.connections, key=rank):
+            if connection.evict():
+                self.evicted += 1
+                return True
+        return False
+
+    def stop(self) -> None:
+        """The process ends: connections close once they are answered, and what comes later than clients may
+        still ask is refused."""
+        self.stopping = True
+        self.refuses_from = self.loop.time() + STILL_ASKED
 
     def sweep(self, now: float) -> None:
-        linger = LINGER_AT_END if self.stopping else LINGER
+        """Close what idles. A fault at one connection costs that one."""
         for connection in list(self.connections):
-            if connection.taken is not None:
-                continue
-            if connection.closing:
-                if now - connection.since >= (linger if connection.flushed else IDLE):
-                    connection.drop()
-            elif connection.reader.begun or not connection.served:
-                if now - connection.since >= (WRITES if connection.reader.begun else FIRST):
-                    self.refused[408] += 1
-                    connection.answer(whole(408, "no whole request in time", True), False)
-            elif now - connection.since >= IDLE:
-                connection.finish()
+            try:
+                self.sweep_one(connection, now)
+            except Exception as problem:
+                log.error("connection not swept", exc_info=problem)
+                connection.drop()
+
+    def sweep_one(self, connection: ClientConnection, now: float) -> None:
+        idle = now - connection.since
+        if connection.closing:
+            linger = LINGER_AT_END if self.stopping else LINGER
+            if idle >= (linger if connection.flushed else IDLE):
+                connection.drop()
+        elif connection.busy:
+            return
+        elif connection.reader.begun or not connection.served:
+            if idle >= (WRITES if connection.reader.begun else FIRST) and not connection.unread:
+                self.refused[408] += 1
+                connection.answer(whole(408, "no whole request in time", True), False)
+        elif idle >= IDLE:
+            connection.finish_if_idle()
 
     def close_idle(self) -> None:
         for connection in list(self.connections):
-            if connection.taken is None and not connection.reader.pending and not connection.closing:
-                connection.finish()
+            connection.finish_if_idle()
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import select
 import socket
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
@@ -21,6 +20,7 @@
 from heathford.interface import Role, Verdict
 from heathford.platform.answers import LONGEST_LINE, Answer
 from heathford.wire.http1 import NonsenseError, Response, request
+from heathford.wire.socket_state import state_of
 
 IDLE_PART = 0.6  # of the time after which engines close idle connections: one written into then is lost
 SETTLED = 0.01  # s after an answer before a connection is used again: some engines close it then, and a
@@ -85,12 +85,8 @@
 
     def quiet(self) -> bool:
         """Nothing has come on it, an end included. Guards against what the loop has not come to yet: a
-        request written behind an end may have run for all we know. Costs a call to the kernel."""
-        if self.transport is None or self.transport.is_closing():
-            return False
-        poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return not poll.poll(0)
+        request written behind an end may have run for all we know."""
+        return not state_of(self.transport).unread
 
     def close(self) -> None:
         """At once, with what is unwritten. Shut down first: a transport closes its socket in the loop's next
@@ -123,7 +119,7 @@
             kept.close()
             kept = pools.idle_one(pool, self.loop.time())
         if kept:
-            self.begin(kept, data())
+            self.begin(kept, data)
         elif pools.opening(pool):
             self.expect(within, self.unreached)
             self.link.tasks.spawn(self.open(pool, data))
@@ -151,12 +147,12 @@
             connection.uncount()
             self.unreached()
         else:
-            self.begin(connection, data())
+            self.begin(connection, data)
 
-    def begin(self, connection: EngineConnection, data: bytes) -> None:
+    def begin(self, connection: EngineConnection, data: Callable[[], bytes]) -> None:
         self.connection, connection.user = connection, self
         self.expect(max(0.0, self.until - self.loop.time()), self.timed_out)
-        connection.write(data)
+        connection.write(data())
 
     def expect(self, seconds: float, then: Callable[[], None]) -> None:
         if self.timer:
@@ -221,6 +217,13 @@
             return
         self.connect(self.encoded, min(left, self.link.connect_timeout))
 
+    def begin(self, connection: EngineConnection, data: Callable[[], bytes]) -> None:
+        if not self.events.wanted():
+            self.link.give_back(connection)
+            self.end(Verdict.UNSENT)
+        else:
+            super().begin(connection, data)
+
     def encoded(self) -> bytes:
         (target, body), self.body = self.body, ("", b"")  # written once: not kept while the answer streams
         left = max(1, int(1000 * (self.until - self.loop.time())))
@@ -231,7 +234,8 @@
         self.end(Verdict.CANCELLED)
 
     def withdraw(self) -> None:
-        if self.connection is None:
+        """Also where part of a long request has left: an engine starts on what is whole."""
+        if self.connection is None or self.connection.unwritten:
             self.end(Verdict.UNSENT)
 
     def end(self, verdict: Verdict, detail: int = 0, keep: bool = False) -> None:
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 import resource
+import select
 import signal
 import socket
 import time
@@ -19,7 +20,7 @@
 from heathford.discovery.follower import ListChange
 from heathford.fleet.instances import Instances
 from heathford.log_stream import LOGS
-from heathford.platform.client_server import SWEEP, ClientServer
+from heathford.platform.client_server import STILL_ASKED, SWEEP, ClientServer
 from heathford.platform.link import PlatformLink
 from heathford.platform.start import StartError, address_of, from_environment, seed_of, told
 from heathford.wire.http1 import NonsenseError
@@ -31,12 +32,12 @@
 RESERVED = OWN_DESCRIPTORS + 3 * ACCEPTED  # accepted, but not counted or not closed yet for up to three turns
 CLIENT_PART = 0.55  # of the others: clients hold a third of all for requests, idle ones come beside them
 BACKLOG = 1024  # connections that wait in the socket
-STILL_ASKED = 0.6  # s after SIGTERM for which clients may still come
 END_LOOK = 0.05  # s between two looks at whether all has ended: small beside the 0.7 s until a kill
 TIDY = 8  # sweeps between two full collections of garbage, 2 s: completions and their dispatches point to
 # each other, and left to its own pace the collector let ten times as many pile up; one takes about 3 ms
 FIRST_LIST = 0.5  # s that the agent may take for its first list: it answers at once, or is silent while
 # discovery is down. Two calls and more fit in; a start may take 10 s
+LIST_AGAIN = 0.5  # s after a change of the list that could not be taken until the whole list is asked for
 TELL = 5.0  # s between two lines on what this front believes
 
 log = structlog.get_logger()
@@ -82,6 +83,7 @@
         self.clients = ClientServer(
             self.core, {c["name"]: place for place, c in enumerate(settings["categories"])},
             descriptors.clients)
+        self.core.list_not_taken = self.ask_again
         self.watch = DiscoveryClient(*discovery, self.instances, self.list_changed)
         self.ending = asyncio.Event()
         self.known = told.get("known")
@@ -118,15 +120,20 @@
     def list_changed(self, change: ListChange) -> None:
         self.core.list_changed(change.complete, change.rows)
 
+    def ask_again(self) -> None:
+        """Guards against a list of which half was taken and which counts as current."""
+        self.loop.call_later(LIST_AGAIN, self.watch.start)
+
     def sweep(self, due: float = 0.0) -> None:
         now = self.loop.time()
+        # First of all: a fault below must not be the end of all sweeps.
+        self.loop.call_at(now + SWEEP, self.sweep, now + SWEEP)
         self.lag = max(self.lag, now - due if due else 0.0)
         self.clients.sweep(now)
         self.link.pools.sweep(now)
         self.sweeps += 1
         if self.sweeps % TIDY == 0:
             gc.collect()
-        self.loop.call_at(now + SWEEP, self.sweep, now + SWEEP)
 
     def tell(self) -> None:
         """What this front believes, to be held against what crossed the sockets."""
@@ -158,7 +165,7 @@
 
     def terminate(self) -> None:
         if not self.clients.stopping:
-            self.clients.stopping = True
+            self.clients.stop()
             log.info("ending", open=self.core.open, clients=len(self.clients.connections))
             self.ending.set()
 
@@ -170,6 +177,20 @@
         await self.ending.wait()
         await self.end()
 
+    def idle(self) -> bool:
+        """Nothing that was taken is open any more."""
+        return not (self.core.live or self.clients.connections or self.link.tasks.running)
+
+    def someone_waits(self) -> bool:
+        """A connection waits to be accepted. Guards against an end that resets it: what its client has sent
+        was taken by this machine. Costs a call to the kernel."""
+        if not self.server:
+            return False
+        poll = select.poll()
+        for sock in self.server.sockets:
+            poll.register(sock.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
     async def end(self) -> None:
         """Serves on for as long as clients may come, then until all that was taken is answered, however long
         an answer streams: who must have it sooner kills us."""
@@ -177,7 +198,7 @@
         while True:
             self.clients.close_idle()
             self.clients.sweep(self.loop.time())
-            if not self.core.live and not self.clients.connections and not self.link.tasks.running:
+            if self.idle() and not self.someone_waits():
                 break
             await asyncio.sleep(END_LOOK)
         if self.server:
--- a/heathford/policy/router.py
+++ b/heathford/policy/router.py
@@ -238,7 +238,7 @@
 
     def usable(self, engine: Engine, completion: Completion) -> bool:
         slow_start, free = self.slow_start, not engine.trickle or len(engine.unanswered) < engine.trickle
-        return free and (
+        return free and engine.health is Health.ON and (
             not slow_start.cold(engine) or slow_start.takes(engine, completion.session, self.unheard))
 
     def send(self, completion: Completion, engine: Engine, reading: bool) -> None:
--- a/heathford/sessions/session.py
+++ b/heathford/sessions/session.py
@@ -325,6 +325,9 @@
                 desk.heard(part, desk.now())
         desk.share()
 
+    def still_waits(self) -> bool:
+        return not self.over
+
     def tokens(self, text: str) -> None:
         if self.first is None:
             now = self.first = self.session.desk.now()
--- a/heathford/wire/request_reader.py
+++ b/heathford/wire/request_reader.py
@@ -23,10 +23,14 @@
 
 @dataclass(frozen=True)
 class Received:
-    """A whole request; kept: with its body. at: s on the loop's clock at which its last byte was read."""
+    """A whole request; kept: with its body.
+
+    began, ended: s on the loop's clock at which its first byte and its last were read.
+    """
 
     request: Request
-    at: float
+    began: float
+    ended: float
     kept: bool = True
 
 
@@ -46,6 +50,12 @@
         self.waiting: deque[Received | Unreadable] = deque()
         self.unreadable = False
         self.current = Request(longest_head, longest_body)
+        self.began = 0.0  # when the first byte of the current one was read
+
+    @property
+    def has_whole(self) -> bool:
+        """A request that has come whole waits to be taken."""
+        return bool(self.waiting)
 
     @property
     def begun(self) -> bool:
@@ -70,10 +80,13 @@
         """Take what came; from bytes that can't be read on, the rest of the connection is dropped."""
         if self.unreadable:
             return
+        if not self.current.begun:
+            self.began = now
         try:
             self.current.feed(data)
             while self.current.done:
                 self.add(self.current, now)
+                self.began = now
                 self.current = Request(self.longest_head, self.longest_body, self.current.rest)
                 self.current.feed(b"")
         except RefusedError as error:
@@ -102,7 +115,7 @@
         if not kept:
             request.body = bytearray()
         self.ahead.kept += len(request.body)
-        self.waiting.append(Received(request, now, kept))
+        self.waiting.append(Received(request, self.began, now, kept))
 
     def give_up(self, error: RefusedError) -> None:
         self.waiting.append(Unreadable(error))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -184,6 +184,9 @@
         self.text: list[str] = []
         self.finals: list[str] = []
 
+    def still_waits(self) -> bool:
+        return True
+
     def tokens(self, text: str) -> None:
         assert not self.finals
         self.text.append(text)
--- /dev/null
+++ b/tests/raw_peers.py
@@ -0,0 +1,272 @@
+"""A front node in the test's own event loop, and peers that are plain sockets.
+
+The test is each peer. What it does between two awaits happens while the loop is held up, so the test decides
+in which order events reach the front node: all of it lies in the kernel when the loop looks again.
+"""
+
+import asyncio
+import select
+import socket
+import struct
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from heathford.platform.process import Node
+from heathford.platform.start import told
+from heathford.standin.platform import EVENTS, GOOD, READ, Agent, settings
+
+ALL = b"".join(EVENTS)
+PATIENCE = 5.0  # s for what has to happen: far beyond what it takes
+RESET = struct.pack("ii", 1, 0)  # for SO_LINGER: close with a reset
+LONGEST = 1 << 20
+
+
+async def until(true: Callable[[], bool], why: str = "") -> None:
+    """Let the loop turn until that holds."""
+    try:
+        async with asyncio.timeout(PATIENCE):
+            while not true():
+                await asyncio.sleep(0.002)
+    except TimeoutError:
+        raise AssertionError(f"never came: {why}") from None
+
+
+async def turns(count: int = 60) -> None:
+    """Let the loop turn that often, and no time pass but what that takes."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+def at_once(sock: socket.socket) -> None:
+    """Bytes arrive as they are written: else a small write waits for the one before it to be confirmed."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def readable(sock: socket.socket) -> bool:
+    return bool(select.select([sock], [], [], 0.0)[0])
+
+
+def request(name: str, budget: int = 4000, request_class: str = "chat", keep: bool = True) -> bytes:
+    """A completion as clients ask for it."""
+    body = orjson.dumps({"stream": True, "messages": [{"role": "user", "content": "x" * 36}]})
+    close = "" if keep else "Connection: close\r\n"
+    return (f"POST /v1/chat/completions HTTP/1.1\r\nHost: o\r\nX-Call-Id: {name}\r\n{close}"
+            f"X-Call-Class: {request_class}\r\nX-Route-Hash: s1\r\nX-Budget-Ms: {budget}\r\n"
+            "X-Call-Info: prompt_len=9,prefix_len=0,max_out=20\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n").encode() + body
+
+
+class Held:
+    """One connection at an engine; `got` is what came on it."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.got = b""
+
+    def look(self) -> bytes:
+        """Take in what has come; b"" at the end."""
+        while self.sock.fileno() >= 0 and readable(self.sock):
+            try:
+                part = self.sock.recv(65_536)
+            except OSError:
+                part = b""
+            if not part:
+                break
+            self.got += part
+        return self.got
+
+    def header(self, name: str) -> str:
+        """Of the last request that came."""
+        last = self.look().rpartition(b"POST ")[2].partition(b"\r\n\r\n")[0].decode()
+        fields = dict(line.split(": ", 1) for line in last.split("\r\n")[1:])
+        return fields[name]
+
+
+class RawEngine:
+    """A listening socket; connections are accepted by `posts` and `deletes`."""
+
+    def __init__(self, uid: str, model: str) -> None:
+        self.uid, self.model, self.state, self.boot_ms = uid, model, "SERVING", 0
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.held: list[Held] = []
+        self.latest: dict[bytes, Held] = {}  # by method: where something came last
+
+    @property
+    def address(self) -> str:
+        host, port = self.listener.getsockname()
+        return f"{host}:{port}"
+
+    @property
+    def row(self) -> dict[str, Any]:
+        return {"uid": self.uid, "endpoint": self.address, "az": "a", "model": self.model, "pod_group": 0,
+                "state": self.state, "capacity_hint": 1.0, "boot_ms": self.boot_ms}
+
+    def count(self, method: bytes) -> int:
+        """How many requests of that method have come, whole or not."""
+        while readable(self.listener):
+            self.held.append(Held(self.listener.accept()[0]))
+            at_once(self.held[-1].sock)
+        for held in self.held:
+            seen = len(held.got)
+            if len(held.look()) > seen:
+                self.latest[b"POST" if b"POST /" in held.got[seen:] else b"DELETE"] = held
+        return sum(held.got.count(method + b" /") for held in self.held)
+
+    @property
+    def posts(self) -> int:
+        return self.count(b"POST")
+
+    @property
+    def deletes(self) -> int:
+        return self.count(b"DELETE")
+
+    async def asked(self, count: int = 1, method: bytes = b"POST") -> Held:
+        """The connection on which the latest of so many requests came."""
+        await until(lambda: self.count(method) >= count, f"{method!r} {count} at {self.uid}")
+        return self.latest[method]
+
+    def close(self) -> None:
+        for sock in (self.listener, *(held.sock for held in self.held)):
+            sock.close()
+
+
+def prefill(uid: str = "r") -> RawEngine:
+    return RawEngine(uid, "m0")
+
+
+def decode(uid: str = "w") -> RawEngine:
+    return RawEngine(uid, "m1")
+
+
+class RawClient:
+    """A client's connection."""
+
+    def __init__(self, node: Node) -> None:
+        self.sock = socket.create_connection(node.listen)
+        at_once(self.sock)
+        self.got = b""
+        self.ended = False
+
+    def say(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def leave(self, how: str) -> None:
+        """closed, reset, or half closed: it has gone, as the protocol page has it."""
+        if how == "reset":
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        if how == "half closed":
+            self.sock.shutdown(socket.SHUT_WR)
+        else:
+            self.sock.close()
+
+    def look(self) -> bytes:
+        while not self.ended and readable(self.sock):
+            try:
+                part = self.sock.recv(65_536)
+            except OSError:
+                part = b""
+                self.got += b"<reset>"
+            self.ended = not part
+            self.got += part
+        return self.got
+
+    @property
+    def answers(self) -> list[int]:
+        """Statuses of the answers that have begun."""
+        return [int(part.split(b" ", 1)[0]) for part in self.look().split(b"HTTP/1.1 ")[1:]]
+
+    @property
+    def whole(self) -> int:
+        """How many streams have come to their last chunk."""
+        return self.look().count(b"0\r\n\r\n")
+
+    async def until(self, answers: int) -> list[int]:
+        await until(lambda: len(self.answers) >= answers, f"{answers} answers, {self.answers} came")
+        return self.answers
+
+    async def until_closed(self) -> bytes:
+        await until(lambda: bool(self.look() or True) and self.ended, "an end")
+        return self.got
+
+
+class Day:
+    """A front node, its engines and its discovery."""
+
+    def __init__(self, node: Node, agent: Agent, engines: tuple[RawEngine, ...]) -> None:
+        self.node, self.agent, self.engines = node, agent, engines
+        self.clients: list[RawClient] = []
+
+    def client(self) -> RawClient:
+        self.clients.append(RawClient(self.node))
+        return self.clients[-1]
+
+    def tell(self, *engines: RawEngine) -> None:
+        """The list has changed."""
+        self.agent.say(*(engine.row for engine in engines))
+
+    async def answer(self, client: RawClient, name: str) -> None:
+        """One request read and written, after which all connections stand idle."""
+        reader, writer = self.engines[0], self.engines[1]
+        reads, writes, whole = reader.posts, writer.posts, client.whole
+        client.say(request(name))
+        (await reader.asked(reads + 1)).sock.sendall(READ)
+        (await writer.asked(writes + 1)).sock.sendall(GOOD)
+        await until(lambda: client.whole == whole + 1, "the stream's end")
+
+    async def settled(self) -> None:
+        """Until connections to engines that were in use may be used again."""
+        await asyncio.sleep(0.02)
+
+
+@asynccontextmanager
+async def front_node(
+    folder: Path, *engines: RawEngine, name: str = "n0", sockets: int = 256,
+    setting: Callable[[dict[str, Any]], None] | None = None, **limits: Any,
+) -> AsyncIterator[Day]:
+    """A started front node. setting: changes the settings that it is told."""
+    agent = Agent()
+    agent.engines = list(engines)  # type: ignore[arg-type]
+    address = await agent.open()
+    said = settings(**limits)
+    if setting:
+        setting(said)
+    path = folder / f"{name}.json"
+    path.write_bytes(orjson.dumps({
+        "discovery": address, "limits": {"sockets": sockets}, "seed": 7, "settings": said}))
+    host, _, port = address.rpartition(":")
+    node = Node(name, ("127.0.0.1", 0), (host, int(port)), told(path), path)
+    day = Day(node, agent, engines)
+    try:
+        async with asyncio.timeout(20.0):
+            await node.start()
+            await agent.until_watched()
+            yield day
+    finally:
+        node.watch.stop()
+        if node.server:
+            node.server.close()
+        for client in day.clients:
+            client.sock.close()
+        for connection in list(node.clients.connections):
+            connection.drop()
+        node.link.stop()
+        agent.close()
+        for engine in engines:
+            engine.close()
+        await asyncio.sleep(0)
+
+
+@contextmanager
+def small_reads(size: int = 512) -> Iterator[None]:
+    """Transports read that many bytes a turn, as a long backlog is read: many turns lie before its end."""
+    transport: Any = asyncio.selector_events._SelectorSocketTransport  # type: ignore[attr-defined]
+    before = transport.max_size
+    transport.max_size = size
+    try:
+        yield
+    finally:
+        transport.max_size = before
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -39,6 +39,9 @@
         self.over = asyncio.Event()
         self.begun = asyncio.Event()
 
+    def wanted(self) -> bool:
+        return True
+
     def first_token(self) -> None:
         self.events.append("first")
         self.begun.set()
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -25,6 +25,9 @@
         self.look = look
         self.ends: list[tuple[Verdict, Any]] = []
 
+    def wanted(self) -> bool:
+        return True
+
     def first_token(self) -> None: ...
 
     def tokens(self, part: Any) -> None: ...
--- a/tests/test_request_reader.py
+++ b/tests/test_request_reader.py
@@ -59,7 +59,7 @@
     requests = reader()
     requests.feed(SIZED[:-1], 1.0)
     requests.feed(SIZED[-1:] + PLAIN, 2.0)
-    times = [one.at for one in (requests.take(), requests.take()) if isinstance(one, Received)]
+    times = [one.ended for one in (requests.take(), requests.take()) if isinstance(one, Received)]
     assert times == [2.0, 2.0]
 
 
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -189,6 +189,9 @@
     def __init__(self) -> None:
         self.verdict: asyncio.Future[Verdict] = asyncio.get_running_loop().create_future()
 
+    def wanted(self) -> bool:
+        return True
+
     def first_token(self) -> None: ...
 
     def tokens(self, text: str) -> None: ...
