The idempotency key of a request is passed on to engines with every attempt

Clients of a class whose repeats engines know send Idempotency-Key; platform/asking.py dropped it, and platform/link.py built the head without. Ruled out: the body and target, which are passed on as they came. Change: it is read, bounded (256 printable characters, once, else 400), and handed to every attempt as the core's mark.

--- a/heathford/platform/asking.py
+++ b/heathford/platform/asking.py
@@ -11,10 +11,12 @@
 PATH = "/v1/chat/completions"
 NAME = re.compile(r"[0-9A-Za-z_-]{1,64}")  # it goes into a path towards engines
 WORD = re.compile(r"[!-~]{0,128}")
+KEY_VALUE = re.compile(r"[ -~]{0,256}")
 NUMBER = re.compile(r"[0-9]{1,12}")
 LONGEST_WAIT = 600_000  # ms: ten minutes, beyond any client timeout that a deployment states
 MOST_TOKENS = 10_000_000  # of a prompt or an answer: beyond any model's context
-NAMED = ("x-call-id", "x-call-class", "x-route-hash", "x-budget-ms", "x-call-info", "x-call-cost")
+KEY = "idempotency-key"  # by which engines know a repeat: passed on as it came
+NAMED = ("x-call-id", "x-call-class", "x-route-hash", "x-budget-ms", "x-call-info", "x-call-cost", KEY)
 
 
 def whole_number(text: str, what: str, most: int) -> int:
@@ -59,11 +61,14 @@
         raise RefusedError(400, "no time left")
     cost = headers.get("x-call-cost")
     hint = whole_number(cost, "X-Call-Cost", 10 ** 12) / 1e6 if cost else 0.0
+    key = headers.get(KEY, "")
+    if not KEY_VALUE.fullmatch(key):
+        raise RefusedError(400, f"{KEY} can't be read")
     info = dict.fromkeys(("prefix", "prompt_len", "prefix_len", "max_out"), "")
     for pair in headers.get("x-call-info", "").split(","):
-        key, _, value = pair.strip().partition("=")
-        if key in info:
-            info[key] = value
+        field, _, value = pair.strip().partition("=")
+        if field in info:
+            info[field] = value
     prompt = whole_number(info["prompt_len"], "prompt_len", MOST_TOKENS)
     shared = whole_number(info["prefix_len"] or "0", "prefix_len", MOST_TOKENS)
     longest = whole_number(info["max_out"], "max_out", MOST_TOKENS)
@@ -80,4 +85,4 @@
     return core.take(
         sink, workload, 0, word(headers.get("x-route-hash", ""), "X-Route-Hash"),
         word(info["prefix"], "prefix"), prompt, shared, longest, budget / 1000,
-        (request.target, bytes(request.body)), received=received, name=name, answer_hint=hint)
+        (request.target, bytes(request.body)), mark=key, received=received, name=name, answer_hint=hint)
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -199,11 +199,11 @@
     """One dispatch. Ends once, with the first thing that ends it."""
 
     def __init__(
-        self, link: "PlatformLink", endpoint: Endpoint, name: str, body: tuple[str, bytes], timeout: float,
-        events: CallEvents,
+        self, link: "PlatformLink", endpoint: Endpoint, name: str, body: tuple[str, bytes], mark: str,
+        timeout: float, events: CallEvents,
     ) -> None:
         super().__init__(link, endpoint, timeout)
-        self.name, self.body, self.events = name, body, events
+        self.name, self.body, self.mark, self.events = name, body, mark, events
         self.answer = Answer(endpoint.role is Role.READER)
         self.heard_at = 0.0  # when the last event came
         self.begun = False
@@ -227,8 +227,10 @@
     def encoded(self) -> bytes:
         (target, body), self.body = self.body, ("", b"")  # written once: not kept while the answer streams
         left = max(1, int(1000 * (self.until - self.loop.time())))
-        return request("POST", target, self.endpoint.address,
-                       {"X-Call-Id": self.name, "X-Budget-Ms": str(left)}, body)
+        headers = {"X-Call-Id": self.name, "X-Budget-Ms": str(left)}
+        if self.mark:
+            headers["Idempotency-Key"] = self.mark
+        return request("POST", target, self.endpoint.address, headers, body)
 
     def cancel(self) -> None:
         self.end(Verdict.CANCELLED)
@@ -357,7 +359,7 @@
         self, endpoint: Endpoint, name: str, body: Any, kv: Mapping[str, Any] | None, mark: str,
         timeout: float, events: CallEvents,
     ) -> EngineCall:
-        call = EngineCall(self, endpoint, name, body, timeout, events)
+        call = EngineCall(self, endpoint, name, body, mark, timeout, events)
         if name in self.letting_go:
             # Guards against a DELETE that comes after the dispatch it was sent before: it names the
             # completion, and would take the state from that one. Costs the wait for its answer.
