--- a/heathford/platform/client_connection.py
+++ b/heathford/platform/client_connection.py
@@ -12,6 +12,7 @@
 
 from heathford.core.core import Core, Taken
 from heathford.platform.asking import ask
+from heathford.platform.eviction import Idleness
 from heathford.platform.responses import CLOSING, STREAM, whole
 from heathford.wire.request_reader import ReadAhead, Received, RequestReader, Unreadable
 from heathford.wire.requests import RefusedError, Request
@@ -40,6 +41,12 @@
     def opened(self, connection: "ClientConnection") -> None:
         """A connection has been accepted."""
 
+    def changed(self, connection: "ClientConnection") -> None:
+        """What is open on a connection has changed."""
+
+    def closed(self, connection: "ClientConnection") -> None:
+        """A connection is gone."""
+
 
 class ClientConnection(asyncio.Protocol):
     """One client's connection and the sink of the completion that is open on it."""
@@ -74,6 +81,7 @@
             log.error("request not read", exc_info=problem)
             self.reader.give_up(RefusedError(500, "the request could not be read"))
         self.advance()
+        self.clients.changed(self)
 
     def eof_received(self) -> None:
         """Guards against attempts that begin after the client has gone: a turn of the core that is due comes
@@ -82,7 +90,7 @@
         self.leave()
 
     def connection_lost(self, problem: Exception | None) -> None:
-        self.clients.connections.pop(self, None)
+        self.clients.closed(self)
         self.leave()
 
     def leave(self) -> None:
@@ -93,6 +101,7 @@
         if taken is not None:
             self.forget()
             taken.leave()
+        self.clients.changed(self)
 
     # Requests.
 
@@ -138,6 +147,7 @@
         self.name = request.headers["x-call-id"]
         request.body = bytearray()  # the core has it
         clients.open[self.name] = self.taken
+        clients.changed(self)
 
     def refuse(self, problem: RefusedError, keep: bool) -> None:
         """keep: what was whole but made no sense leaves the connection in order; anything else does not."""
@@ -168,6 +178,7 @@
         self.since = self.clients.loop.time()
         if keep and not (self.clients.stopping and not self.asks_on):
             self.clients.loop.call_soon(self.advance)
+            self.clients.changed(self)
         else:
             self.finish()
 
@@ -176,6 +187,16 @@
         """A request that was read whole has not been answered yet."""
         return self.taken is not None or self.reader.has_whole
 
+    @property
+    def idleness(self) -> Idleness | None:
+        if self.busy:
+            return None
+        if self.closing:
+            return Idleness.SHUT
+        if self.reader.begun:
+            return Idleness.ASKING
+        return Idleness.ANSWERED if self.served else Idleness.SILENT
+
     @property
     def unread(self) -> bool:
         """Bytes, or the client's end, have reached this machine and not this program."""
@@ -207,6 +228,7 @@
         self.closing = True
         self.reader.close()
         self.since = self.clients.loop.time()
+        self.clients.changed(self)
         transport = self.transport
         if transport and not transport.is_closing():
             transport.write_eof()
@@ -219,7 +241,7 @@
     def drop(self) -> None:
         self.closing = True
         self.reader.close()
-        self.clients.connections.pop(self, None)
+        self.clients.closed(self)
         if self.transport:
             self.transport.abort()
 
--- a/heathford/platform/client_server.py
+++ b/heathford/platform/client_server.py
@@ -3,19 +3,22 @@
 import asyncio
 from collections import Counter
 from collections.abc import Mapping
+from itertools import islice
 from math import inf
 
 import structlog
 
 from heathford.core.core import Core, Taken
 from heathford.platform.client_connection import ClientConnection
+from heathford.platform.eviction import EvictionQueues
 from heathford.platform.responses import whole
 from heathford.wire.request_reader import ReadAhead
 
 FIRST = 2.0  # s for a connection's first byte: silent ones are owed a close within 3
 IDLE = 30.0  # s that a connection is kept between requests: clients come back within seconds or not at all
-SAYS = 0.5  # s within which a client that connects begins to ask
 WRITES = 2.6  # s from connecting for a first request that has begun: it is still coming, slowly
+EVICTION_LOOKS = 16  # connections looked at to make room: one with something unread is not idle, and is read
+# in this turn of the loop
 SWEEP = 0.25  # s between two looks at what idles: small beside FIRST
 LINGER = 1.0  # s for which a connection that we have shut is still read: closed over unread bytes it would be
 # reset, and what the client has not read yet would be lost
@@ -32,6 +35,7 @@
         self.core, self.workloads, self.max_connections = core, workloads, max_connections
         self.loop = asyncio.get_running_loop()
         self.connections: dict[ClientConnection, None] = {}
+        self.idle = EvictionQueues[ClientConnection]()
         self.open: dict[str, Taken] = {}  # completions that clients wait for, by the clients' names
         self.stopping = False
         self.refuses_from = inf  # s on the loop's clock from which new requests are refused
@@ -48,26 +52,25 @@
             connection.drop()  # unread: an answer would need the descriptor until its client has read it
         else:
             self.connections[connection] = None
+            self.idle.place(connection)
+
+    def changed(self, connection: ClientConnection) -> None:
+        """What is open on a connection has changed."""
+        if connection in self.connections:
+            self.idle.place(connection)
+
+    def closed(self, connection: ClientConnection) -> None:
+        """A connection is gone."""
+        self.connections.pop(connection, None)
+        self.idle.remove(connection)
 
     def make_room(self) -> bool:
         """Evict one connection on which nothing is owed.
 
-        Guards against clients that connect by the hundreds and say nothing. First whose connection we have
-        shut, then who connected and said nothing for longer than a client that wants something does, who was
-        answered and stays, who is slow to ask, and only then who has just come. Could harm a client whose
+        Guards against clients that connect by the hundreds and say nothing. Could harm a client whose
         connection is closed as it asks; it asks again on a new one.
         """
-        now = self.loop.time()
-
-        def rank(connection: ClientConnection) -> tuple[int, float]:
-            if connection.closing:
-                return -1, connection.since
-            if connection.reader.begun:
-                return 2, connection.since
-            if connection.served:
-                return 1, connection.since
-            return (0 if now - connection.since >= SAYS else 3), connection.since
-        for connection in sorted(self.connections, key=rank):
+        for connection in islice(self.idle.in_order(self.loop.time()), EVICTION_LOOKS):
             if connection.evict():
                 self.evicted += 1
                 return True
