--- a/heathford/__main__.py
+++ b/heathford/__main__.py
@@ -1,6 +1,11 @@
 """`python -m heathford`: the commands."""
 
-from heathford.cli.main import cli
+import sys
+
+from heathford.early_signals import EARLY
 
 if __name__ == "__main__":
+    if "platform" in sys.argv[1:]:
+        EARLY.hold()  # before all else is loaded, which is most of a start
+    from heathford.cli.main import cli
     cli(prog_name="heathford")
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -7,7 +7,7 @@
 import signal
 import socket
 import time
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -18,6 +18,7 @@
 from heathford.core.core import Core
 from heathford.discovery.client import DiscoveryClient
 from heathford.discovery.follower import ListChange
+from heathford.early_signals import EARLY
 from heathford.fleet.instances import Instances
 from heathford.log_stream import LOGS
 from heathford.platform.client_server import STILL_ASKED, SWEEP, ClientServer
@@ -170,6 +171,8 @@
             self.ending.set()
 
     async def run(self) -> None:
+        if self.ending.is_set():
+            return
         await self.start()
         log.info("ready", name=self.name, listen=f"{self.listen[0]}:{self.listen[1]}")
         gc.collect()
@@ -215,7 +218,10 @@
     loop = asyncio.get_running_loop()
     name, listen, discovery, path = from_environment(variables)
     node = Node(name, listen, discovery, told(path), path)
-    for sign in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(sign, node.terminate)
-    loop.add_signal_handler(signal.SIGHUP, node.reload)
+    acts: dict[signal.Signals, Callable[[], None]] = {
+        signal.SIGTERM: node.terminate, signal.SIGINT: node.terminate, signal.SIGHUP: node.reload}
+    for sign, act in acts.items():
+        loop.add_signal_handler(sign, act)
+    for sign in EARLY.received:
+        acts[sign]()
     await node.run()
--- /dev/null
+++ b/tests/test_platform_signals.py
@@ -0,0 +1,74 @@
+"""Signals that come before a front node can act on them, in a process of its own.
+
+The process sends itself the signal right after its first lines, so that it comes at that point every time.
+"""
+
+import asyncio
+import os
+import signal
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+import orjson
+import pytest
+
+from heathford.standin.platform import Agent, settings
+
+STARTS = """
+import os, runpy, signal, sys
+from heathford.early_signals import EARLY
+hold = EARLY.hold
+def signalled():
+    hold()
+    for number in {numbers}:
+        os.kill(os.getpid(), number)
+EARLY.hold = signalled
+sys.argv = ["heathford", "--log", "json", "platform"]
+runpy.run_module("heathford", run_name="__main__")
+"""
+
+
+async def started(folder: Path, numbers: Sequence[int]) -> tuple[int | None, list[dict[str, object]]]:
+    """The exit status, or None while it runs, and what it has logged until it was ready or ended."""
+    agent = Agent()
+    address = await agent.open()
+    path = folder / "config.json"
+    path.write_bytes(orjson.dumps({
+        "discovery": address, "limits": {"sockets": 256}, "seed": 1, "settings": settings()}))
+    script = STARTS.format(numbers=[int(number) for number in numbers])
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, "-c", script, cwd=Path(__file__).parent.parent,
+        stderr=asyncio.subprocess.PIPE,
+        env={**os.environ, "NODE_NAME": "n0", "NODE_LISTEN": "127.0.0.1:0", "NODE_DISCOVERY": address,
+             "NODE_CONFIG": str(path)})
+    said = []
+    try:
+        async with asyncio.timeout(10.0):
+            assert process.stderr
+            while line := await process.stderr.readline():
+                said.append(orjson.loads(line))
+                if said[-1]["event"] == "ready":
+                    return None, said
+            return await process.wait(), said
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        agent.close()
+
+
+@pytest.mark.parametrize("count", [1, 3])
+def test_a_reload_while_the_program_is_loaded_is_done_once_it_can_be(tmp_path: Path, count: int) -> None:
+    """Seen before: the process ended by the signal, without a word."""
+    status, said = asyncio.run(started(tmp_path, count * [signal.SIGHUP]))
+    assert status is None
+    assert [line["event"] for line in said].count("configuration read") == count
+
+
+@pytest.mark.parametrize("numbers", [[signal.SIGTERM], [signal.SIGHUP, signal.SIGTERM]])
+def test_an_end_while_the_program_is_loaded_is_an_orderly_one(
+    tmp_path: Path, numbers: list[signal.Signals]
+) -> None:
+    status, said = asyncio.run(started(tmp_path, numbers))
+    assert status == 0 and "ready" not in [line["event"] for line in said]
