--- a/heathford/policy/router.py
+++ b/heathford/policy/router.py
@@ -7,7 +7,7 @@
 from statistics import median
 
 from heathford.interface import Clock, CompletionDoor, Effect, Health, InstanceDoor, Kind, Role, Workload
-from heathford.policy.engine_state import REPORT_LIFE, Dispatch, Engine, remember
+from heathford.policy.engine_state import REPORT_LIFE, REST_MOST, Dispatch, Engine, remember
 from heathford.policy.estimators import STALE, Fit, reader_is_better
 from heathford.policy.placement import Ring, Test
 from heathford.policy.request_state import Completion
@@ -33,10 +33,9 @@
 
     def __init__(
         self, clock: Clock, door: InstanceDoor, seed: int, kinds: Sequence[Kind],
-        workloads: Sequence[Workload], number: int, fronts: int, zone: int,
-        try_limit: int, pin_limit: float, may_cancel: bool, may_delay_retries: bool, longest_retry: float,
-        warm_after: float, cold_from: float, cold_multiple: float, cold_window: float, read_in_place: bool,
-        subscribe: bool,
+        workloads: Sequence[Workload], number: int, fronts: int, zone: int, try_limit: int, pin_limit: float,
+        may_cancel: bool, may_delay_retries: bool, longest_retry: float, warm_after: float, cold_from: float,
+        cold_multiple: float, cold_window: float, read_in_place: bool, subscribe: bool,
     ) -> None:
         self.clock, self.door, self.random = clock, door, random.Random(seed)
         self.kinds, self.workloads = kinds, workloads
@@ -124,8 +123,8 @@
         return self.asked > ADMIT * self.good + DOUBT
 
     @property
-    def unheard(self) -> float:  # reads sent lately for each that was answered
-        return (self.read + 1) / (self.heard + 1)
+    def unheard(self) -> float:
+        return (self.read + 1) / (self.heard + 1)  # reads sent lately for each that was answered
 
     def decide(self) -> None:
         """The next step of all with no dispatch out; what can't be placed waits and is looked at once a tick.
@@ -215,16 +214,17 @@
         if engine.closed(completion.origin, now, self.tightest) or engine.crawls(now) or (
                 load.get("queue", 0.0) >= 1.0 or load.get("slots", 0.0) >= SLOTS_USED):
             return False
-        if not engine.kind.memory:
-            return True  # not told how much
         since = sum(d.tokens for d in engine.out if d.sent > engine.load_at or "memory" not in load)
-        return since * self.fronts + completion.prompt + completion.answer < (
-            MEMORY_USED - load.get("memory", 0.0)) * engine.kind.memory
+        return not engine.kind.memory or since * self.fronts + completion.prompt + completion.answer < (
+            MEMORY_USED - load.get("memory", 0.0)) * engine.kind.memory  # none told: as much as is wanted
 
     def write(self, completion: Completion, reader: Engine, now: float) -> bool:  # two near the reader
         able = [e for e in self.writers if self.usable(e, completion) and completion.may_go_to(e, now)]
         near = [e for e in able if e.zone == reader.zone]
-        pools = [e for e in near if e.cell == reader.cell], near, able
+        # Guards against a cell's full writers, which each of many fronts finds slow only now and then.
+        well = [e for e in near if now >= e.rests.get(None, (-inf, 0.0))[0] + REST_MOST]
+        well_here, here = ([e for e in some if e.cell == reader.cell] for some in (well, near))
+        pools = well_here, well, here, near, able
         waited = now - completion.held_since >= self.hold
         fit = next(filter(None, ([e for e in pool if self.has_room(e, completion)] for pool in pools)), [])
         if waited and not fit:  # a state may not be held on
--- a/tests/raw_peers.py
+++ b/tests/raw_peers.py
@@ -47,7 +47,9 @@
 
 
 def readable(sock: socket.socket) -> bool:
-    return bool(select.select([sock], [], [], 0.0)[0])
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return bool(poll.poll(0))
 
 
 def request(name: str, budget: int = 4000, request_class: str = "chat", keep: bool = True) -> bytes:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -10,7 +10,7 @@
 
 from heathford.interface import Effect, Group, Health, Kind, Role, Verdict, Workload
 from heathford.policy import Router
-from heathford.policy.engine_state import Engine
+from heathford.policy.engine_state import REST_MOST, Engine
 from heathford.policy.estimators import Fit, mixed_features, read_features
 
 New = Callable[..., Bench]
@@ -754,3 +754,22 @@
         b.first(c)
         b.end(c, Verdict.FINISHED, closed=True)
         assert c.settled
+
+
+@pytest.mark.parametrize("after, writer", [(3.0, 22), (REST_MOST + 2.0, 12)])
+def test_a_writer_that_was_slow_of_late_is_passed_over_while_another_of_the_zone_was_not(
+    bench: New, after: float, writer: int
+) -> None:
+    """Its rest is over, but a front of many asks too seldom to find it slow again before each write. Seen on
+    a calm day of ub-booking: 82 of 389 writes to one of 48 writers timed out."""
+    b = bench()
+    b.engines((10, 0), (12, 1), (22, 1))
+    first = b.take()
+    b.end(first, Verdict.READ)
+    assert b.asked()[-1] == ("send", 12)  # in the reader's cell
+    b.first(first, 0.9)
+    b.end(first, Verdict.FINISHED, closed=True)
+    b.wait(after)
+    b.asked()
+    b.end(b.take(session="t"), Verdict.READ)
+    assert [done for done in b.asked() if done[0] == "send"][-1] == ("send", writer)
--- a/tests/test_slow_start_fleet.py
+++ b/tests/test_slow_start_fleet.py
@@ -1,173 +1,19 @@
-"""Slow start over the fleet: many policies, no messages between them, several engines cold at once.
+"""Slow start over the fleet: many policies, no messages between them, several engines cold at once."""
 
-One deterministic play on a clock of its own: engines that answer in turn at their capacity, a burst right
-after some of them have come back cold, texts asked for by Zipf's law, some front nodes just restarted.
-"""
-
-from collections import defaultdict
-from collections.abc import Callable
-from heapq import heappop, heappush
-from itertools import count
 from math import sqrt
-from random import Random
 
 import pytest
+from policy_fleet import (
+    BEGIN, BURST_SECONDS, CAPACITY, COLD_AT, COLD_FROM, ENGINES, LAYOUTS, MULTIPLE, WARM_AFTER, WINDOW, Fleet)
 
-from heathford.interface import Effect, Group, Health, Kind, Role, Verdict, Workload
-from heathford.policy import Completion, Router
-
-WINDOW = 1.0  # s in which the rule counts
-WARM_AFTER = 9.0  # s
-COLD_FROM = 0.3  # of its capacity that a cold engine has at first
-MULTIPLE = 2.5  # times its present capacity that it bears
-CAPACITY = 8.0  # requests a second of a warm engine
-ENGINES = 16
-LOAD = 0.9  # of all engines' capacity
-BURST = 1.5  # times that, from the moment the engines are cold
-BURST_SECONDS = 3.0
-BEGIN = 100.0  # s on the clock
-COLD_AT = BEGIN + 5.0
-DAY = 12.0  # s
-RESTARTED = 0.2  # of the front nodes, in that moment
-TEXTS = 100
-SHARING = 0.9  # of the requests begin with one of the texts
+LARGE = 60.0  # requests a second of a warm engine, where a budget of over 30 is wanted
 BUDGET = MULTIPLE * COLD_FROM * CAPACITY * WINDOW  # N at the coldest
 MOST = BUDGET + 2 * sqrt(BUDGET) + 2  # the rest is put down to chance
 
-LAYOUTS = {
-    "combined": [Kind(Role.MIXED, 0)],
-    "separate": [Kind(Role.READER, 0), Kind(Role.WRITER, 0)],
-}
-
-
-class RequestDoor:
-    """What a policy can do for one request."""
-
-    def __init__(self, fleet: "Fleet", front: "FrontNode") -> None:
-        self.fleet, self.front, self.attempts = fleet, front, 0
-        self.handle: Completion | None = None
-
-    def send(self, engine: int, timeout: float) -> None:
-        self.fleet.begin(self, self.attempts, engine, timeout)
-        self.attempts += 1
-
-    def cancel(self, seq: int) -> None: ...
-
-    def rate_limit(self, retry_after: float) -> None: ...
-
-    def abort(self) -> None: ...
-
-    def release(self) -> None: ...
-
-
-class FrontNode:
-    """One policy, which may start over."""
-
-    def __init__(self, fleet: "Fleet", number: int) -> None:
-        self.fleet, self.number = fleet, number
-        self.start()
-
-    def start(self) -> None:
-        fleet = self.fleet
-        self.router = Router(
-            fleet, self, self.number, fleet.kinds,
-            [Workload(1.0, 0.0, 0.05, Effect.IDEMPOTENT, Group.ALL, 2.0, 1.0)], self.number, fleet.fronts, 0,
-            4, 0.5, True, True, 2.0, WARM_AFTER, COLD_FROM, MULTIPLE, WINDOW, False, False)
-        self.tell(True, list(fleet.started))
-
-    def tell(self, complete: bool, engines: list[int]) -> None:
-        self.router.list_begins(complete)
-        for engine in engines:
-            kind = engine % len(self.fleet.kinds)
-            self.router.list_row(engine, 0, kind, engine % 4, Health.ON, 1.0, self.fleet.started[engine])
-        self.router.list_ends()
-
-    def wake(self, after: float) -> None:
-        self.fleet.at(self.fleet.now + after, self.router.decide)
-
-    def subscribe(self) -> None: ...
 
-    def trace(self, text: str) -> None: ...
-
-
-class Fleet:
-    """All front nodes and engines."""
-
-    def __init__(self, fronts: int, kinds: list[Kind], cold: int, seed: int) -> None:
-        self.random, self.now, self.fronts, self.kinds = Random(seed), BEGIN, fronts, kinds
-        self.order, self.agenda = count(), list[tuple[float, int, Callable[[], None]]]()
-        self.started = dict.fromkeys(range(1, ENGINES + 1), 0.0)
-        self.cold = list(self.started)[:cold]
-        self.busy_until: dict[int, float] = defaultdict(float)
-        self.sends: dict[int, list[float]] = defaultdict(list)
-        self.nodes = [FrontNode(self, number) for number in range(fronts)]
-        self.at(COLD_AT, self.come_back_cold)
-        at = BEGIN
-        while at < BEGIN + DAY:
-            bursting = COLD_AT < at < COLD_AT + BURST_SECONDS
-            rate = ENGINES * CAPACITY / len(kinds) * LOAD * (BURST if bursting else 1.0)
-            at += self.random.expovariate(rate)
-            self.at(at, self.ask)
-
-    def at(self, when: float, do: Callable[[], None]) -> None:
-        heappush(self.agenda, (when, next(self.order), do))
-
-    def run(self) -> None:
-        while self.agenda:
-            self.now, _, do = heappop(self.agenda)
-            do()
-
-    def come_back_cold(self) -> None:
-        for engine in self.cold:
-            self.started[engine] = self.now
-        for node in self.nodes:
-            if self.random.random() < RESTARTED:
-                node.start()
-            else:
-                node.tell(False, self.cold)
-
-    def ask(self) -> None:
-        node = self.random.choice(self.nodes)
-        door = RequestDoor(self, node)
-        popularity = [1 / (text + 1) for text in range(TEXTS)]
-        text = self.random.choices(range(TEXTS), popularity)[0]
-        shared = str(text) if self.random.random() < SHARING else ""
-        prompt = self.random.choice((300, 1500, 3000, 6000))
-        session = str(self.random.random())
-        door.handle = node.router.take(
-            door, 0, 0, session, shared, prompt, prompt // 2 if shared else 0, 100, 0.0, self.now + 4.0)
-        node.router.decide()
-
-    def begin(self, door: RequestDoor, attempt: int, engine: int, timeout: float) -> None:
-        """An attempt: the engine serves one after the other, slower while it is cold."""
-        self.sends[engine].append(self.now)
-        warm = min(1.0, (self.now - self.started[engine]) / WARM_AFTER) if self.started[engine] else 1.0
-        capacity = CAPACITY * (COLD_FROM + (1 - COLD_FROM) * warm)
-        self.busy_until[engine] = max(self.now, self.busy_until[engine]) + 1 / capacity
-        takes = self.busy_until[engine] - self.now + 0.05
-        role = self.kinds[engine % len(self.kinds)].role
-        if takes >= timeout:
-            self.later(timeout, door, attempt, Verdict.TIMED_OUT)
-        elif role is Role.READER:
-            self.later(takes, door, attempt, Verdict.READ)
-        else:
-            self.at(self.now + takes, lambda: self.first_token(door, attempt, takes))
-            self.later(takes + 1.0, door, attempt, Verdict.FINISHED)
-
-    def first_token(self, door: RequestDoor, attempt: int, latency: float) -> None:
-        assert door.handle
-        door.handle.first_token(attempt, latency)
-        door.front.router.decide()
-
-    def later(self, after: float, door: RequestDoor, attempt: int, verdict: Verdict) -> None:
-        def end() -> None:
-            assert door.handle
-            door.handle.ended(attempt, verdict, after, verdict is Verdict.FINISHED, 0, {})
-            door.front.router.decide()
-        self.at(self.now + after, end)
-
-    def cold_sends(self, engine: int) -> list[float]:
-        return [at for at in self.sends[engine] if COLD_AT <= at < COLD_AT + WARM_AFTER]
+def stated(budget: float) -> float:
+    """What the users allow of a budget of N calls: the rest is put down to chance."""
+    return budget + (3 * sqrt(budget) + 3 if budget < 30 else 2 * sqrt(budget) + 2)
 
 
 def most_in_a_span(times: list[float], span: float) -> int:
@@ -202,3 +48,20 @@
     if fronts > 1:
         used = sum(len(fleet.cold_sends(engine)) for engine in fleet.cold) / len(fleet.cold)
         assert used >= 0.15 * BUDGET * WARM_AFTER
+
+
+@pytest.mark.parametrize("restarted", [0.2, 1.0], ids=["some restarted", "all restarted"])
+@pytest.mark.parametrize("cold", [1, 4, ENGINES // 2], ids=["one", "some", "half"])
+@pytest.mark.parametrize("layout", LAYOUTS)
+@pytest.mark.parametrize("fronts", [1, 2, 5, 30, 230])
+@pytest.mark.parametrize("capacity", [CAPACITY, LARGE], ids=["under 30", "over 30"])
+def test_the_sum_over_all_front_nodes_stays_in_what_the_users_state(
+    capacity: float, fronts: int, layout: str, cold: int, restarted: float
+) -> None:
+    """One, some or half of all engines cold, a budget under 30 calls and one over it, front nodes just
+    restarted. Where the test above asks for less, it binds as well."""
+    short = COLD_AT - BEGIN + BURST_SECONDS + 1.0  # the coldest seconds
+    fleet = Fleet(fronts, LAYOUTS[layout], cold, 3, capacity, short, restarted)
+    fleet.run()
+    most = max(most_in_a_span(fleet.cold_sends(engine), WINDOW) for engine in fleet.cold)
+    assert most <= stated(MULTIPLE * COLD_FROM * capacity * WINDOW)
