--- a/tests/raw_peers.py
+++ b/tests/raw_peers.py
@@ -8,7 +8,7 @@
 import select
 import socket
 import struct
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from pathlib import Path
 from typing import Any
@@ -262,6 +262,16 @@
         await asyncio.sleep(0)
 
 
+def run_day(
+    folder: Path, day: Callable[[Day], Awaitable[None]], *engines: RawEngine, **more: Any
+) -> None:
+    """Play that against a front node; with one prefill and one decode engine where none are given."""
+    async def play() -> None:
+        async with front_node(folder, *(engines or (prefill(), decode())), **more) as made:
+            await day(made)
+    asyncio.run(play())
+
+
 @contextmanager
 def small_reads(size: int = 512) -> Iterator[None]:
     """Transports read that many bytes a turn, as a long backlog is read: many turns lie before its end."""
--- a/tests/test_faults_contained.py
+++ b/tests/test_faults_contained.py
@@ -7,7 +7,7 @@
 
 import pytest
 from conftest import Instance
-from raw_peers import decode, front_node, prefill, request, turns, until
+from raw_peers import Day, decode, front_node, prefill, request, run_day, turns, until
 
 from heathford.core.doors import Endpoint
 from heathford.interface import Health, Role, Verdict
@@ -108,27 +108,26 @@
 ) -> None:
     raised = raising(monkeypatch, ClientConnection, step)
 
-    async def day() -> None:
-        a, b = prefill(), decode()
-        async with front_node(tmp_path, a, b) as play:
-            client, other = play.client(), play.client()
-            client.say(request("c0", budget=300, request_class="booking"))
-            held = await a.asked()
-            if step != "rate_limited":
-                held.sock.sendall(READ)
-                held = await b.asked()
-            if step == "finished":
-                held.sock.sendall(GOOD)
-            if step == "aborted":
-                held.sock.close()
-            if step == "finished":  # part of the answer has gone out: it ends without its last chunk
-                await client.until_closed()
-                assert client.whole == 0
-            else:
-                assert await client.until(1) == [502]
-            await play.answer(other, "c1")
-            assert raised
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        client, other = play.client(), play.client()
+        client.say(request("c0", budget=300, request_class="booking"))
+        held = await a.asked()
+        if step != "rate_limited":
+            held.sock.sendall(READ)
+            held = await b.asked()
+        if step == "finished":
+            held.sock.sendall(GOOD)
+        if step == "aborted":
+            held.sock.close()
+        if step == "finished":  # part of the answer has gone out: it ends without its last chunk
+            await client.until_closed()
+            assert client.whole == 0
+        else:
+            assert await client.until(1) == [502]
+        await play.answer(other, "c1")
+        assert raised
+    run_day(tmp_path, day)
 
 
 @pytest.mark.parametrize("owner, name", [
@@ -138,15 +137,14 @@
 ) -> None:
     raised = raising(monkeypatch, owner, name)
 
-    async def day() -> None:
-        a, b = prefill(), decode()
-        async with front_node(tmp_path, a, b) as play:
-            client, other = play.client(), play.client()
-            client.say(request("c0"))
-            assert await client.until(1) == [500]
-            await play.answer(other, "c1")
-            assert raised and a.posts == 1
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        client, other = play.client(), play.client()
+        client.say(request("c0"))
+        assert await client.until(1) == [500]
+        await play.answer(other, "c1")
+        assert raised and a.posts == 1
+    run_day(tmp_path, day)
 
 
 def test_a_fault_at_one_connection_does_not_end_the_sweeps(
--- a/tests/test_idempotency_key.py
+++ b/tests/test_idempotency_key.py
@@ -1,11 +1,10 @@
 """The mark by which engines know a repeat is passed on at every attempt, as the client sent it."""
 
-import asyncio
 from pathlib import Path
 from typing import Any
 
 import pytest
-from raw_peers import decode, front_node, prefill, request, until
+from raw_peers import Day, decode, prefill, request, run_day, until
 
 from heathford.standin.platform import GOOD, READ, WORDS
 
@@ -25,36 +24,34 @@
     """Prefill, decode, and the decode again after one that may have run.
 
     Seen on a deployment of our own: "request 7cf48bc7 is not as its client sent it (idempotency key)"."""
-    async def day() -> None:
-        a, b, other = prefill(), decode(), decode("w2")
-        async with front_node(tmp_path, a, b, other, setting=keyed) as play:
-            client = play.client()
-            client.say(with_header("c0", f"Idempotency-Key: {KEY}"))
-            held = await a.asked()
-            assert held.header("Idempotency-Key") == KEY
-            held.sock.sendall(READ)
-            await until(lambda: b.posts + other.posts == 1, "a decode attempt")
-            first, second = (b, other) if b.posts else (other, b)
-            held = await first.asked()
-            assert held.header("Idempotency-Key") == KEY
-            held.sock.sendall(WORDS["error"])
-            await until(lambda: b.posts + other.posts + a.posts == 3, "a further attempt")
-            engine = next(e for e, n in ((a, 2), (first, 2), (second, 1)) if e.posts == n)
-            assert (await engine.asked(engine.posts)).header("Idempotency-Key") == KEY
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b, other = play.engines
+        client = play.client()
+        client.say(with_header("c0", f"Idempotency-Key: {KEY}"))
+        held = await a.asked()
+        assert held.header("Idempotency-Key") == KEY
+        held.sock.sendall(READ)
+        await until(lambda: b.posts + other.posts == 1, "a decode attempt")
+        first, second = (b, other) if b.posts else (other, b)
+        held = await first.asked()
+        assert held.header("Idempotency-Key") == KEY
+        held.sock.sendall(WORDS["error"])
+        await until(lambda: b.posts + other.posts + a.posts == 3, "a further attempt")
+        engine = next(e for e, n in ((a, 2), (first, 2), (second, 1)) if e.posts == n)
+        assert (await engine.asked(engine.posts)).header("Idempotency-Key") == KEY
+    run_day(tmp_path, day, prefill(), decode(), decode("w2"), setting=keyed)
 
 
 def test_without_a_key_none_is_made_up(tmp_path: Path) -> None:
-    async def day() -> None:
-        a, b = prefill(), decode()
-        async with front_node(tmp_path, a, b) as play:
-            client = play.client()
-            client.say(request("c0"))
-            (await a.asked()).sock.sendall(READ)
-            held = await b.asked()
-            held.sock.sendall(GOOD)
-            assert b"idempotency" not in held.look().lower()
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        client = play.client()
+        client.say(request("c0"))
+        (await a.asked()).sock.sendall(READ)
+        held = await b.asked()
+        held.sock.sendall(GOOD)
+        assert b"idempotency" not in held.look().lower()
+    run_day(tmp_path, day)
 
 
 @pytest.mark.parametrize("line", [
@@ -62,10 +59,9 @@
     "Idempotency-Key: k\xe9"],
     ids=["twice", "too long", "no ASCII"])
 def test_a_key_that_can_not_be_read_is_refused(tmp_path: Path, line: str) -> None:
-    async def day() -> None:
-        a, b = prefill(), decode()
-        async with front_node(tmp_path, a, b, setting=keyed) as play:
-            client = play.client()
-            client.say(with_header("c0", line))
-            assert await client.until(1) == [400] and not a.posts
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        client = play.client()
+        client.say(with_header("c0", line))
+        assert await client.until(1) == [400] and not a.posts
+    run_day(tmp_path, day, setting=keyed)
--- a/tests/test_races_client_gone.py
+++ b/tests/test_races_client_gone.py
@@ -12,7 +12,7 @@
 
 import pytest
 from raw_peers import (
-    Held, RawClient, decode, front_node, prefill, readable, request, small_reads, turns, until)
+    Day, Held, RawClient, decode, front_node, prefill, readable, request, run_day, small_reads, turns, until)
 
 from heathford.platform.link import EngineConnection
 from heathford.standin.platform import READ, WORDS
@@ -32,42 +32,40 @@
 @pytest.mark.parametrize("how", GONE)
 @pytest.mark.parametrize("kept", [True, False], ids=["kept connection", "new connection"])
 def test_first_attempt(tmp_path: Path, how: str, kept: bool) -> None:
-    async def day() -> None:
-        a, b = prefill(), decode()
-        async with front_node(tmp_path, a, b) as play:
-            if kept:
-                await play.answer(play.client(), "c0")
-                await play.settled()
-            client, before = play.client(), a.posts
-            with small_reads():
-                client.say(request("c1"))
-                go(client, how)
-                await until(lambda: not play.node.core.live and play.node.core.tally.left == 1, "left")
-                await turns()
-                assert a.posts == before
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        if kept:
+            await play.answer(play.client(), "c0")
+            await play.settled()
+        client, before = play.client(), a.posts
+        with small_reads():
+            client.say(request("c1"))
+            go(client, how)
+            await until(lambda: not play.node.core.live and play.node.core.tally.left == 1, "left")
+            await turns()
+            assert a.posts == before
+    run_day(tmp_path, day)
 
 
 @pytest.mark.parametrize("how", GONE)
 @pytest.mark.parametrize("kept", [True, False], ids=["kept connection", "new connection"])
 def test_hand_over_from_prefill_to_decode(tmp_path: Path, how: str, kept: bool) -> None:
-    async def day() -> None:
-        a, b = prefill(), decode()
-        async with front_node(tmp_path, a, b) as play:
-            if kept:
-                await play.answer(play.client(), "c0")
-                await play.settled()
-            client, before = play.client(), b.posts
-            client.say(request("c1"))
-            held = await a.asked(a.posts + 1)
-            with small_reads():
-                go(client, how)
-                held.sock.sendall(READ)
-                await until(lambda: not play.node.core.live, "left")
-                await turns()
-                assert b.posts == before
-                await until(lambda: a.deletes == 1, "the release of what was read")
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        if kept:
+            await play.answer(play.client(), "c0")
+            await play.settled()
+        client, before = play.client(), b.posts
+        client.say(request("c1"))
+        held = await a.asked(a.posts + 1)
+        with small_reads():
+            go(client, how)
+            held.sock.sendall(READ)
+            await until(lambda: not play.node.core.live, "left")
+            await turns()
+            assert b.posts == before
+            await until(lambda: a.deletes == 1, "the release of what was read")
+    run_day(tmp_path, day)
 
 
 @pytest.mark.parametrize("how", GONE)
@@ -99,21 +97,20 @@
 @pytest.mark.parametrize("how", GONE)
 def test_attempt_that_waits_for_a_release(tmp_path: Path, how: str) -> None:
     """A prefill that may have run is released before the next attempt, which waits for that."""
-    async def day() -> None:
-        a, b = prefill(), decode()
-        async with front_node(tmp_path, a, b) as play:
-            client = play.client()
-            client.say(request("c1"))
-            (await a.asked()).sock.sendall(WORDS["error"])
-            release = await a.asked(1, b"DELETE")
-            assert a.posts == 1 and play.node.link.letting_go
-            with small_reads():
-                go(client, how)
-                release.sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
-                await until(lambda: not play.node.core.live, "left")
-                await turns()
-                assert (a.posts, b.posts) == (1, 0)
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        client = play.client()
+        client.say(request("c1"))
+        (await a.asked()).sock.sendall(WORDS["error"])
+        release = await a.asked(1, b"DELETE")
+        assert a.posts == 1 and play.node.link.letting_go
+        with small_reads():
+            go(client, how)
+            release.sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+            await until(lambda: not play.node.core.live, "left")
+            await turns()
+            assert (a.posts, b.posts) == (1, 0)
+    run_day(tmp_path, day)
 
 
 @pytest.mark.parametrize("how", GONE)
--- a/tests/test_races_links.py
+++ b/tests/test_races_links.py
@@ -11,7 +11,7 @@
 
 import orjson
 import pytest
-from raw_peers import Held, decode, front_node, prefill, readable, request, turns, until
+from raw_peers import Day, Held, decode, readable, request, run_day, turns, until
 
 from heathford.discovery.client import CallProtocol
 from heathford.platform.link import EngineConnection
@@ -45,17 +45,16 @@
 def test_a_connection_that_comes_up_as_its_time_is_over_is_used_or_closed(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    async def day() -> None:
-        a, b = prefill(), decode()
-        async with front_node(tmp_path, a, b) as play:
-            connect_late(monkeypatch, play.node.loop, a.listener.getsockname()[1])
-            client = play.client()
-            client.say(request("c0", budget=1500))
-            await until(lambda: bool(client.answers) or a.posts > 0, "an attempt or an answer")
-            await turns()
-            still_open = sum(not ended(held) for held in a.held)
-            assert play.node.link.pools.open == still_open
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        connect_late(monkeypatch, play.node.loop, a.listener.getsockname()[1])
+        client = play.client()
+        client.say(request("c0", budget=1500))
+        await until(lambda: bool(client.answers) or a.posts > 0, "an attempt or an answer")
+        await turns()
+        still_open = sum(not ended(held) for held in a.held)
+        assert play.node.link.pools.open == still_open
+    run_day(tmp_path, day)
 
 
 @pytest.mark.parametrize("request_class, further", [("chat", True), ("booking", False)])
@@ -65,66 +64,63 @@
     """The request may have run for all we know: sent again only where that does no harm."""
     quiet = EngineConnection.quiet
 
-    async def day() -> None:
-        a, b = prefill(), decode()
-        async with front_node(tmp_path, a, b) as play:
-            await play.answer(play.client(), "c0")
-            await play.settled()
-            kept = b.held[0]
-
-            def looked(self: EngineConnection) -> bool:
-                found = quiet(self)
-                if self.transport and self.transport.get_extra_info("peername")[1] == int(
-                        b.address.rpartition(":")[2]):
-                    kept.sock.close()
-                return found
-            monkeypatch.setattr(EngineConnection, "quiet", looked)
-            client = play.client()
-            client.say(request("c1", request_class=request_class))
-            (await a.asked(2)).sock.sendall(READ)
-            if further:
-                await until(lambda: a.posts + b.posts > 3, "a further attempt")
-            else:
-                assert await client.until(1) == [502] and b.posts == 1
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        await play.answer(play.client(), "c0")
+        await play.settled()
+        kept = b.held[0]
+
+        def looked(self: EngineConnection) -> bool:
+            found = quiet(self)
+            if self.transport and self.transport.get_extra_info("peername")[1] == int(
+                    b.address.rpartition(":")[2]):
+                kept.sock.close()
+            return found
+        monkeypatch.setattr(EngineConnection, "quiet", looked)
+        client = play.client()
+        client.say(request("c1", request_class=request_class))
+        (await a.asked(2)).sock.sendall(READ)
+        if further:
+            await until(lambda: a.posts + b.posts > 3, "a further attempt")
+        else:
+            assert await client.until(1) == [502] and b.posts == 1
+    run_day(tmp_path, day)
 
 
 def test_an_answer_that_comes_once_more_ends_the_connections_use(tmp_path: Path) -> None:
     """Later than a kept connection has settled, and before the next request is written."""
-    async def day() -> None:
-        a, b = prefill(), decode()
-        async with front_node(tmp_path, a, b) as play:
-            client = play.client()
-            await play.answer(client, "c0")
-            await play.settled()
-            client.say(request("c1"))
-            held = await a.asked(2)
-            b.held[0].sock.sendall(GOOD)  # the first answer again; nobody has asked
-            held.sock.sendall(READ)
-            await until(lambda: b.posts == 2, "the write")
-            assert len(b.held) == 2 and ended(b.held[0])
-            (await b.asked(2)).sock.sendall(GOOD)
-            await until(lambda: client.whole == 2, "the stream's end")
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        client = play.client()
+        await play.answer(client, "c0")
+        await play.settled()
+        client.say(request("c1"))
+        held = await a.asked(2)
+        b.held[0].sock.sendall(GOOD)  # the first answer again; nobody has asked
+        held.sock.sendall(READ)
+        await until(lambda: b.posts == 2, "the write")
+        assert len(b.held) == 2 and ended(b.held[0])
+        (await b.asked(2)).sock.sendall(GOOD)
+        await until(lambda: client.whole == 2, "the stream's end")
+    run_day(tmp_path, day)
 
 
 @pytest.mark.parametrize("step", ["error", "full"])
 def test_an_answer_and_the_end_of_its_connection_in_one_turn(tmp_path: Path, step: str) -> None:
-    async def day() -> None:
-        a, b = prefill(), decode()
-        async with front_node(tmp_path, a, b) as play:
-            client = play.client()
-            client.say(request("c0", request_class="booking"))
-            (await a.asked()).sock.sendall(READ)
-            held = await b.asked()
-            held.sock.sendall(WORDS[step])
-            held.sock.close()
-            if step == "error":  # may have run
-                assert await client.until(1) == [502] and b.posts == 1
-            else:
-                await until(lambda: b.posts == 2, "a further attempt")
-            assert play.node.link.ends.total() >= 2
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        client = play.client()
+        client.say(request("c0", request_class="booking"))
+        (await a.asked()).sock.sendall(READ)
+        held = await b.asked()
+        held.sock.sendall(WORDS[step])
+        held.sock.close()
+        if step == "error":  # may have run
+            assert await client.until(1) == [502] and b.posts == 1
+        else:
+            await until(lambda: b.posts == 2, "a further attempt")
+        assert play.node.link.ends.total() >= 2
+    run_day(tmp_path, day)
 
 
 def test_a_call_to_discovery_that_is_given_up_as_it_connects_is_closed(
@@ -134,28 +130,27 @@
     made = CallProtocol.connection_made
     closed: list[CallProtocol] = []
 
-    async def day() -> None:
-        a, b = prefill(), decode()
-        async with front_node(tmp_path, a, b) as play:
-            watch = play.node.watch
-
-            def moved(self: CallProtocol, transport: asyncio.BaseTransport) -> None:
-                if not closed:
-                    closed.append(self)
-                    watch.move(watch.address, watch.port)
-                made(self, transport)
-            monkeypatch.setattr(CallProtocol, "connection_made", moved)
-            watch.move(watch.address, watch.port)
-            await until(lambda: watch.protocol is not None and watch.protocol is not closed[0]
-                        if closed else False, "another call")
-            await play.agent.until_watched()
-            await turns()
-            assert closed[0].transport is not None and closed[0].transport.is_closing()
-            other = decode("w2")
-            play.tell(other)
-            await until(lambda: "w2" in play.node.instances.rows, "the change")
-            other.close()
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        watch = play.node.watch
+
+        def moved(self: CallProtocol, transport: asyncio.BaseTransport) -> None:
+            if not closed:
+                closed.append(self)
+                watch.move(watch.address, watch.port)
+            made(self, transport)
+        monkeypatch.setattr(CallProtocol, "connection_made", moved)
+        watch.move(watch.address, watch.port)
+        await until(lambda: watch.protocol is not None and watch.protocol is not closed[0]
+                    if closed else False, "another call")
+        await play.agent.until_watched()
+        await turns()
+        assert closed[0].transport is not None and closed[0].transport.is_closing()
+        other = decode("w2")
+        play.tell(other)
+        await until(lambda: "w2" in play.node.instances.rows, "the change")
+        other.close()
+    run_day(tmp_path, day)
 
 
 @pytest.mark.parametrize("reloads", [0, 2])
--- a/tests/test_races_read_answered.py
+++ b/tests/test_races_read_answered.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import pytest
-from raw_peers import Day, RawClient, decode, front_node, prefill, request, turns, until
+from raw_peers import Day, RawClient, request, run_day, turns, until
 
 from heathford.platform.client_connection import ClientConnection
 from heathford.platform.client_server import FIRST, IDLE, STILL_ASKED
@@ -19,13 +19,6 @@
 HALF = request("half")[:200]
 
 
-def run(folder: Path, day: Callable[[Day], Any], **more: Any) -> None:
-    async def play() -> None:
-        async with front_node(folder, prefill(), decode(), **more) as made:
-            await day(made)
-    asyncio.run(play())
-
-
 def before(monkeypatch: pytest.MonkeyPatch, owner: type, name: str, act: Callable[[Any], None]) -> None:
     """Have that happen right before each call of the method."""
     method = getattr(owner, name)
@@ -70,7 +63,7 @@
         await serve(play, 2)
         assert await client.until(2) == [200, 200]
         await until(lambda: client.whole == 2, "both streams")
-    run(tmp_path, day)
+    run_day(tmp_path, day)
 
 
 @pytest.mark.parametrize("first", [b"", request("c1")[:1]], ids=["nothing", "a byte"])
@@ -83,7 +76,7 @@
         client.say(request("c1")[len(first):])
         assert not play.node.clients.make_room()
         await until(lambda: play.engines[0].posts == 2, "the request")
-    run(tmp_path, day)
+    run_day(tmp_path, day)
 
 
 def test_half_a_request_is_told_why_it_is_evicted_and_goes_last(tmp_path: Path) -> None:
@@ -99,7 +92,7 @@
         assert not server.make_room()
         assert await half.until(1) == [503] and (await half.until_closed()).endswith(b"slow\n")
         assert await fresh.until_closed() == b""
-    run(tmp_path, day)
+    run_day(tmp_path, day)
 
 
 def test_an_answer_on_its_way_is_not_evicted(tmp_path: Path) -> None:
@@ -112,7 +105,7 @@
         while connection.flushed:
             connection.write(100_000 * b"x")
         assert not play.node.clients.make_room()
-    run(tmp_path, day)
+    run_day(tmp_path, day)
 
 
 # Connections that idle.
@@ -129,7 +122,7 @@
         (await play.engines[0].asked(2)).sock.sendall(READ)
         (await play.engines[1].asked(2)).sock.sendall(GOOD)
         assert await client.until(2) == [200, 200]
-    run(tmp_path, day)
+    run_day(tmp_path, day)
 
 
 def test_a_first_request_that_crosses_its_time_out_is_served(tmp_path: Path) -> None:
@@ -140,7 +133,7 @@
         play.node.clients.sweep(play.node.loop.time() + FIRST)
         await serve(play)
         assert await client.until(1) == [200]
-    run(tmp_path, day)
+    run_day(tmp_path, day)
 
 
 def test_half_a_request_gets_its_status(tmp_path: Path) -> None:
@@ -150,7 +143,7 @@
         await turns()
         play.node.clients.sweep(play.node.loop.time() + 10 * FIRST)
         assert await client.until(1) == [408] and (await client.until_closed()).endswith(b"time\n")
-    run(tmp_path, day)
+    run_day(tmp_path, day)
 
 
 # The end of the process.
@@ -185,7 +178,7 @@
         await until(lambda: client.whole == 2, "both streams")
         client.sock.close()
         await end
-    run(tmp_path, day)
+    run_day(tmp_path, day)
 
 
 def test_a_request_that_crosses_the_shutdown_of_an_idle_connection_is_served(tmp_path: Path) -> None:
@@ -199,7 +192,7 @@
         (await play.engines[1].asked(2)).sock.sendall(GOOD)
         assert await client.until(2) == [200, 200]
         assert client.whole == 2 and (await client.until_closed()).count(b"HTTP/1.1") == 2
-    run(tmp_path, day)
+    run_day(tmp_path, day)
 
 
 def test_what_is_read_after_the_shutdown_is_not_sent_on_and_resets_nothing(tmp_path: Path) -> None:
@@ -212,7 +205,7 @@
         assert b"<reset>" not in await client.until_closed()
         await turns()
         assert play.engines[0].posts == 1
-    run(tmp_path, day)
+    run_day(tmp_path, day)
 
 
 def test_connections_that_wait_to_be_accepted_at_the_end_are_answered(
@@ -235,7 +228,7 @@
         late[0].sock.close()
         await end
         assert play.engines[0].posts == 0
-    run(tmp_path, day)
+    run_day(tmp_path, day)
 
 
 def test_what_comes_later_than_clients_may_ask_is_refused(tmp_path: Path) -> None:
@@ -255,7 +248,7 @@
         assert client.whole == 1 and play.engines[0].posts == 1
         client.sock.close()
         await end
-    run(tmp_path, day)
+    run_day(tmp_path, day)
 
 
 def test_an_open_stream_goes_on_to_its_end_after_sigterm(tmp_path: Path) -> None:
@@ -273,4 +266,4 @@
         assert all(event in client.got for event in EVENTS)
         client.sock.close()
         await end
-    run(tmp_path, day)
+    run_day(tmp_path, day)
--- a/tests/test_streams_prompt.py
+++ b/tests/test_streams_prompt.py
@@ -1,10 +1,9 @@
 """Events of a stream go out as they come: in the same turn of the loop, no later and in no larger lumps."""
 
-import asyncio
 from pathlib import Path
 
 import pytest
-from raw_peers import Held, RawClient, decode, front_node, prefill, request, until
+from raw_peers import Day, Held, RawClient, request, run_day, until
 
 from heathford.platform.link import EngineConnection
 from heathford.standin.platform import EVENTS, READ, STREAM, chunk
@@ -30,56 +29,53 @@
             passed.append(clients[0].look().count(EVENT) - sum(passed))
     monkeypatch.setattr(EngineConnection, "data_received", looked_at)
 
-    async def day() -> None:
-        a, b = prefill(), decode()
-        async with front_node(tmp_path, a, b) as play:
-            clients.append(play.client())
-            clients[0].say(request("c0"))
-            (await a.asked()).sock.sendall(READ)
-            held = await b.asked()
-            held.sock.sendall(STREAM)
-            for count in range(1, 6):
-                held.sock.sendall(chunk(lump * EVENT))
-                await until(lambda count=count: len(passed) == count, "the lump")  # type: ignore[misc]
-            assert passed == 5 * [lump]
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        clients.append(play.client())
+        clients[0].say(request("c0"))
+        (await a.asked()).sock.sendall(READ)
+        held = await b.asked()
+        held.sock.sendall(STREAM)
+        for count in range(1, 6):
+            held.sock.sendall(chunk(lump * EVENT))
+            await until(lambda count=count: len(passed) == count, "the lump")  # type: ignore[misc]
+        assert passed == 5 * [lump]
+    run_day(tmp_path, day)
 
 
 def test_the_rest_of_an_event_does_not_hold_back_those_before_it(tmp_path: Path) -> None:
-    async def day() -> None:
-        a, b = prefill(), decode()
-        async with front_node(tmp_path, a, b) as play:
-            client = play.client()
-            client.say(request("c0"))
-            (await a.asked()).sock.sendall(READ)
-            held = await b.asked()
-            held.sock.sendall(STREAM + chunk(3 * EVENT + EVENT[:20]))
-            await until(lambda: client.look().count(EVENT) == 3, "three events")
-            held.sock.sendall(chunk(EVENT[20:]))
-            await until(lambda: client.look().count(EVENT) == 4, "the fourth")
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        client = play.client()
+        client.say(request("c0"))
+        (await a.asked()).sock.sendall(READ)
+        held = await b.asked()
+        held.sock.sendall(STREAM + chunk(3 * EVENT + EVENT[:20]))
+        await until(lambda: client.look().count(EVENT) == 3, "three events")
+        held.sock.sendall(chunk(EVENT[20:]))
+        await until(lambda: client.look().count(EVENT) == 4, "the fourth")
+    run_day(tmp_path, day)
 
 
 def test_events_are_in_time_beside_two_hundred_streams(tmp_path: Path) -> None:
-    async def day() -> None:
-        a, b = prefill(), decode()
-        async with front_node(tmp_path, a, b, sockets=2_048) as play:
-            clients: list[RawClient] = []
-            streams: list[Held] = []
-            for number in range(STREAMS):
-                clients.append(play.client())
-                clients[-1].say(request(f"c{number}"))
-                (await a.asked(number + 1)).sock.sendall(READ)
-                streams.append(await b.asked(number + 1))
-                streams[-1].sock.sendall(STREAM + chunk(EVENT))
-                await until(lambda: clients[-1].look().count(EVENT) == 1, "the first event")
-            loop, slowest = play.node.loop, 0.0
-            for turn in range(2, ROUNDS + 2):
-                began = loop.time()
-                for stream in streams:
-                    stream.sock.sendall(chunk(EVENT))
-                await until(lambda turn=turn: all(  # type: ignore[misc]
-                    client.look().count(EVENT) == turn for client in clients), "an event of each")
-                slowest = max(slowest, loop.time() - began)
-            assert slowest < LATE
-    asyncio.run(day())
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        clients: list[RawClient] = []
+        streams: list[Held] = []
+        for number in range(STREAMS):
+            clients.append(play.client())
+            clients[-1].say(request(f"c{number}"))
+            (await a.asked(number + 1)).sock.sendall(READ)
+            streams.append(await b.asked(number + 1))
+            streams[-1].sock.sendall(STREAM + chunk(EVENT))
+            await until(lambda: clients[-1].look().count(EVENT) == 1, "the first event")
+        loop, slowest = play.node.loop, 0.0
+        for turn in range(2, ROUNDS + 2):
+            began = loop.time()
+            for stream in streams:
+                stream.sock.sendall(chunk(EVENT))
+            await until(lambda turn=turn: all(  # type: ignore[misc]
+                client.look().count(EVENT) == turn for client in clients), "an event of each")
+            slowest = max(slowest, loop.time() - began)
+        assert slowest < LATE
+    run_day(tmp_path, day, sockets=2_048)
