--- a/tests/test_races_read_answered.py
+++ b/tests/test_races_read_answered.py
@@ -12,7 +12,7 @@
 from raw_peers import Day, RawClient, request, run_day, turns, until
 
 from heathford.platform.client_connection import ClientConnection
-from heathford.platform.client_server import FIRST, IDLE, STILL_ASKED
+from heathford.platform.client_server import EVICTION_LOOKS, FIRST, IDLE, STILL_ASKED
 from heathford.platform.process import Node
 from heathford.standin.platform import EVENTS, GOOD, READ
 
@@ -108,6 +108,24 @@
     run_day(tmp_path, day)
 
 
+@pytest.mark.parametrize("unread", [0, 1, 40])
+def test_making_room_costs_a_few_looks_however_many_are_idle(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, unread: int
+) -> None:
+    """Seen before: each new connection cost a look at all of some 600, and the loop fell behind by 0.16 s."""
+    looks: list[ClientConnection] = []
+    before(monkeypatch, ClientConnection, "evict", looks.append)
+
+    async def day(play: Day) -> None:
+        clients = [play.client() for _ in range(80)]
+        await until(lambda: len(play.node.clients.connections) == 80, "the connections")
+        for client in clients[:unread]:
+            client.say(HALF)
+        made = play.node.clients.make_room()
+        assert len(looks) == min(unread + 1, EVICTION_LOOKS) and made == (unread < EVICTION_LOOKS)
+    run_day(tmp_path, day)
+
+
 # Connections that idle.
 
 
