--- a/tests/raw_peers.py
+++ b/tests/raw_peers.py
@@ -219,6 +219,12 @@
         (await writer.asked(writes + 1)).sock.sendall(GOOD)
         await until(lambda: client.whole == whole + 1, "the stream's end")
 
+    async def decoding(self, client: RawClient) -> Held:
+        """The first request of the day, read by now: the connection of its decode attempt."""
+        client.say(request("c0"))
+        (await self.engines[0].asked()).sock.sendall(READ)
+        return await self.engines[1].asked()
+
     async def settled(self) -> None:
         """Until connections to engines that were in use may be used again."""
         await asyncio.sleep(0.02)
--- a/tests/test_idempotency_key.py
+++ b/tests/test_idempotency_key.py
@@ -46,9 +46,7 @@
     async def day(play: Day) -> None:
         a, b = play.engines
         client = play.client()
-        client.say(request("c0"))
-        (await a.asked()).sock.sendall(READ)
-        held = await b.asked()
+        held = await play.decoding(client)
         held.sock.sendall(GOOD)
         assert b"idempotency" not in held.look().lower()
     run_day(tmp_path, day)
--- a/tests/test_races_read_answered.py
+++ b/tests/test_races_read_answered.py
@@ -254,9 +254,7 @@
     might be out then. A stream that is open when it comes is passed on to its end first."""
     async def day(play: Day) -> None:
         client = play.client()
-        client.say(request("c0"))
-        (await play.engines[0].asked()).sock.sendall(READ)
-        held = await play.engines[1].asked()
+        held = await play.decoding(client)
         end = await ending(play)
         await asyncio.sleep(STILL_ASKED + 0.02)
         client.say(request("c1"))
@@ -272,9 +270,7 @@
 def test_an_open_stream_goes_on_to_its_end_after_sigterm(tmp_path: Path) -> None:
     async def day(play: Day) -> None:
         client = play.client()
-        client.say(request("c0"))
-        (await play.engines[0].asked()).sock.sendall(READ)
-        held = await play.engines[1].asked()
+        held = await play.decoding(client)
         for part in range(0, len(GOOD), 60):
             held.sock.sendall(GOOD[part:part + 60])
             await turns(3)
--- a/tests/test_streams_prompt.py
+++ b/tests/test_streams_prompt.py
@@ -32,9 +32,7 @@
     async def day(play: Day) -> None:
         a, b = play.engines
         clients.append(play.client())
-        clients[0].say(request("c0"))
-        (await a.asked()).sock.sendall(READ)
-        held = await b.asked()
+        held = await play.decoding(clients[0])
         held.sock.sendall(STREAM)
         for count in range(1, 6):
             held.sock.sendall(chunk(lump * EVENT))
@@ -47,9 +45,7 @@
     async def day(play: Day) -> None:
         a, b = play.engines
         client = play.client()
-        client.say(request("c0"))
-        (await a.asked()).sock.sendall(READ)
-        held = await b.asked()
+        held = await play.decoding(client)
         held.sock.sendall(STREAM + chunk(3 * EVENT + EVENT[:20]))
         await until(lambda: client.look().count(EVENT) == 3, "three events")
         held.sock.sendall(chunk(EVENT[20:]))
