Slow start: what one cold engine hands on is counted at the next on the ring

Cause: 'lead' counted a text only at the engine that its first draw meets. Where that engine is cold and does not take the request, the draw walks on to the next on the ring, which may be cold too and then got both shares. Change: slow_start.py, count_draw walks on while engines are cold, with the part that each leaves. The share of answers to sends over two windows made no difference where it was the least of the factors, and cost too much as a product.

--- a/heathford/policy/slow_start.py
+++ b/heathford/policy/slow_start.py
@@ -28,7 +28,7 @@
         self.pools = pools
         self.rings = {role: near if near.points else far for role, (near, far) in rings.items()}
         self.parts: dict[Role, tuple[float, float, float]] = {}  # when worked out, and sends
-        self.drawn_at, self.drawn = -inf, dict[Engine, int]()  # our recent texts, by the engine drawn first
+        self.drawn_at, self.drawn = -inf, dict[Engine, float]()  # our recent texts, by where they lead
 
     def cold(self, engine: Engine) -> bool:
         """It has started so lately that it may not be warm."""
@@ -51,17 +51,29 @@
         return sum(sent >= self.clock.now - self.window for sent in engine.cold_sends)
 
     def lead(self, engine: Engine) -> float:
-        """How many times as many of our recent texts are drawn to this engine first as to the mean one of its
-        ring; one more than were seen. Worked out once a window for all engines."""
+        """How many times as many of our recent texts lead to this engine by their first draw as to the mean
+        one of its ring; one more than were seen. Worked out once a window for all engines."""
         now = self.clock.now
         if now - self.drawn_at >= self.window:
             self.drawn_at, self.drawn = now, {}
             for ring in self.rings.values():
                 for key in self.recent:
-                    if first := ring.draw(f"1:{key}", lambda e: True):
-                        self.drawn[first] = self.drawn.get(first, 0) + 1
+                    self.count_draw(ring, f"1:{key}")
         engines = len(self.rings[engine.kind.role].points) / POINTS
-        return (self.drawn.get(engine, 0) + 1) / (len(self.recent) + 1) * max(1.0, engines)
+        return (self.drawn.get(engine, 0.0) + 1) / (len(self.recent) + 1) * max(1.0, engines)
+
+    def count_draw(self, ring: Ring, key: str) -> None:
+        """Count a text at the engine that it is drawn to. Guards against one cold engine after another on the
+        ring: what the first does not take leads to the next, which may be cold too."""
+        left = 1.0
+
+        def ends_at(engine: Engine) -> bool:
+            nonlocal left
+            self.drawn[engine] = self.drawn.get(engine, 0.0) + left
+            left *= 1.0 - self.cold_share
+            return not self.cold(engine)
+
+        ring.draw(key, ends_at)
 
     def parts_of(self, role: Role) -> tuple[float, float]:
         """Sends of this front in a window to one cold engine of the role, and to all of them: each alone may
