--- a/tests/raw_peers.py
+++ b/tests/raw_peers.py
@@ -52,9 +52,11 @@
     return bool(poll.poll(0))
 
 
-def request(name: str, budget: int = 4000, request_class: str = "chat", keep: bool = True) -> bytes:
-    """A completion as clients ask for it."""
-    body = orjson.dumps({"stream": True, "messages": [{"role": "user", "content": "x" * 36}]})
+def request(
+    name: str, budget: int = 4000, request_class: str = "chat", keep: bool = True, size: int = 36
+) -> bytes:
+    """A completion as clients ask for it; size: bytes of its prompt."""
+    body = orjson.dumps({"stream": True, "messages": [{"role": "user", "content": "x" * size}]})
     close = "" if keep else "Connection: close\r\n"
     return (f"POST /v1/chat/completions HTTP/1.1\r\nHost: o\r\nX-Call-Id: {name}\r\n{close}"
             f"X-Call-Class: {request_class}\r\nX-Route-Hash: s1\r\nX-Budget-Ms: {budget}\r\n"
