What prefill left is let go where the decode attempt has not arrived

Cause: request_state.py, ended, set held_since anew after anything but UNREACHABLE, and a decode attempt's patience (router.py, send) knows no pin limit; platform/link.py took bytes in the kernel for sent. Ruled out: the release itself (DELETE went out 1 ms after the attempt ended). Change: the core looks at an attempt that takes up a state once its hold is over (Dispatch.look_for_arrival); the link asks the kernel (SIOCOUTQ, SIOCOUTQNSD): what never left this machine is UNREACHABLE, what is not confirmed UNARRIVED, which may have run. Only what an engine answered, or what lasted past that look, starts the clock anew. A connection given up with bytes in the kernel is reset, so that nothing of it is delivered later.

--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -43,6 +43,7 @@
         self.name = taken.name if taken.one_name else f"{taken.name}.{seq}"
         self.reading = endpoint.role is Role.READER
         self.streaming = self.over = False
+        self.arrival: Cancellable | None = None  # the look whether it has arrived
         self.call: Call | None = None
 
     def wanted(self) -> bool:
@@ -63,6 +64,11 @@
             taken.timer = core.loop.call_at(core.loop.time() + core.stream_limit, taken.stream_too_long)
         core.tell(taken, lambda handle: handle.first_token(self.seq, latency))
 
+    def look_for_arrival(self) -> None:
+        """Guards against a state that is held behind an attempt which reaches nobody: it stops no clock."""
+        if self.call and not self.over and not self.streaming:
+            self.call.give_up_unless_arrived()
+
     def tokens(self, part: Any) -> None:
         if self.streaming and not self.over and not self.taken.over:
             self.taken.sink.tokens(part)
@@ -73,12 +79,14 @@
         if self.over:
             return
         self.over = True
+        if self.arrival:
+            self.arrival.cancel()
         taken, core = self.taken, self.taken.core
         latency = core.loop.time() - self.sent
         if taken.out is self:
             taken.out = None
         if verdict is Verdict.READ:
-            taken.kv, taken.state_at = answer["kv"], self
+            taken.kv, taken.state_at, taken.read_at = answer["kv"], self, core.loop.time()
             if taken.abandoned:
                 taken.release()
         elif self.reading and verdict not in NEVER_RAN:
@@ -106,6 +114,7 @@
         self.out: Dispatch | None = None
         self.kv: Mapping[str, Any] | None = None
         self.state_at: Dispatch | None = None  # the reading dispatch that left the state
+        self.read_at = 0.0  # s on the loop's clock at which the state was left
         self.over = False  # final answer given, or the client has gone
         self.abandoned = False  # its decision failed: nothing more is asked of its handle
         self.timer: Cancellable | None = core.loop.call_at(due + core.answer_margin / 2, self.overdue)
@@ -126,6 +135,10 @@
             # tells of nothing before it has returned.
             core.fault(problem, None)
             dispatch.ended(Verdict.UNSENT, 0, {}, {})
+            return
+        if self.state_at and not dispatch.reading:
+            due = max(self.read_at + core.hold, dispatch.sent + (core.pin_limit - core.hold) / 2)
+            dispatch.arrival = core.loop.call_at(due, dispatch.look_for_arrival)
 
     def cancel(self, seq: int) -> None:
         if seq < len(self.dispatches):
@@ -245,10 +258,12 @@
         self.count = 0
         self.idle: list[Callable[[], None]] = []  # called once nothing is live
         self.list_not_taken: Callable[[], None] = lambda: None  # a change of the list has failed: ask anew
+        self.pin_limit = pin_limit
         self.router = Router(
             self.clock, self, seed, kinds, workloads, number, fronts, zone, try_limit, pin_limit, may_cancel,
             may_delay_retries, longest_retry, warm_after, cold_from, cold_multiple, cold_window,
             read_in_place, subscribe)
+        self.hold = self.router.hold  # s for which a state may wait for an attempt that arrives
 
     # What the Router asks for: heathford.interface.InstanceDoor.
 
--- a/heathford/core/doors.py
+++ b/heathford/core/doors.py
@@ -46,6 +46,10 @@
     def withdraw(self) -> None:
         """Ends it with UNSENT, unless something of it may have left or it has ended."""
 
+    def give_up_unless_arrived(self) -> None:
+        """Ends it with UNREACHABLE where its last byte has not left this machine, with UNARRIVED where that
+        byte has left and is not confirmed; unless it has ended."""
+
 
 class CallEvents(Protocol):
     """What a link tells of one dispatch: any number of tokens, then ended, once, and nothing after it."""
--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -150,6 +150,11 @@
         if self.stream is None:
             self.end(Verdict.UNSENT)
 
+    def give_up_unless_arrived(self) -> None:
+        """Only what has no connection yet is known not to have arrived here."""
+        if self.stream is None:
+            self.end(Verdict.UNREACHABLE)
+
     def end(self, verdict: Verdict, detail: int = 0, answer: Mapping[str, Any] | None = None,
             keep: bool = False) -> None:
         if self.over:
@@ -176,7 +181,7 @@
         self.pool = self.link.pool(self.endpoint)
         if self.pool.open - len(self.pool.idle) >= self.link.most:
             # All our connections there are in use: nothing was sent, and for us this engine is full.
-            self.end(Verdict.FULL)
+            self.end(Verdict.CROWDED)
             return
         until = loop.time() + timeout
         self.expect(min(timeout, self.link.connect_timeout), Verdict.UNREACHABLE)
--- a/heathford/interface.py
+++ b/heathford/interface.py
@@ -51,10 +51,16 @@
     CANCELLED = "cancelled"
     UNSENT = "unsent"
     READ = "read"
+    CROWDED = "crowded"  # all our own connections are in use: nothing was sent
+    UNARRIVED = "unarrived"  # sent, but its last byte is not known to have reached the engine; it still may
 
 
 # Outcomes which prove that the dispatch had no effect.
-NEVER_RAN = frozenset({Verdict.FULL, Verdict.UNREACHABLE, Verdict.UNSENT, Verdict.READ})
+NEVER_RAN = frozenset({
+    Verdict.FULL, Verdict.UNREACHABLE, Verdict.UNSENT, Verdict.READ, Verdict.CROWDED})
+
+# Outcomes that an engine has told itself: the dispatch has reached it.
+ANSWERED = frozenset({Verdict.FULL, Verdict.READ, Verdict.ERROR, Verdict.FINISHED})
 
 
 @dataclass(frozen=True)
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import socket
+import struct
 from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
@@ -20,13 +21,14 @@
 from heathford.interface import Role, Verdict
 from heathford.platform.answers import LONGEST_LINE, Answer
 from heathford.wire.http1 import NonsenseError, Response, request
-from heathford.wire.socket_state import state_of
+from heathford.wire.socket_state import state_of, undelivered
 
 IDLE_PART = 0.6  # of the time after which engines close idle connections: one written into then is lost
 SETTLED = 0.01  # s after an answer before a connection is used again: some engines close it then, and a
 # request that crosses the close may have run; ten times the way between zones
 SILENCE = 4.0  # s without an event after which a stream is held for dead: clients may be kept waiting for 5
 ROOMS = "/bootstrap/rooms/"
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # for SO_LINGER: what the kernel still holds is dropped
 
 log = structlog.get_logger()
 
@@ -94,8 +96,14 @@
         self.user = None
         self.uncount()
         if self.transport:
+            sock = self.transport.get_extra_info("socket")
             with suppress(OSError):  # it has broken, or is closed
-                self.transport.get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+                if undelivered(self.transport).unconfirmed:
+                    # Guards against a request that the kernel delivers after we have given it up, as the peer
+                    # reads on or a cut heals. Harms nothing: no answer to it is wanted any more.
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
+                else:
+                    sock.shutdown(socket.SHUT_RDWR)
             self.transport.abort()
 
 
@@ -240,6 +248,18 @@
         if self.connection is None or self.connection.unwritten:
             self.end(Verdict.UNSENT)
 
+    def give_up_unless_arrived(self) -> None:
+        """Guards against what prefill holds for a request that never gets to its decode engine. Where only
+        the confirmation is missing it may have run for all we know."""
+        if self.over or self.begun:
+            return
+        connection = self.connection
+        lies = undelivered(connection.transport) if connection else None
+        if connection is None or connection.unwritten or (lies and lies.unsent):
+            self.end(Verdict.UNREACHABLE)
+        elif lies and lies.unconfirmed:
+            self.end(Verdict.UNARRIVED)
+
     def end(self, verdict: Verdict, detail: int = 0, keep: bool = False) -> None:
         if self.over:
             return
@@ -255,7 +275,7 @@
 
     def crowded(self) -> None:
         """All our connections are in use: nothing was sent, and for us this engine is full."""
-        self.end(Verdict.FULL)
+        self.end(Verdict.CROWDED)
 
     def lost(self, unwritten: bool) -> None:
         self.connection = None
--- a/heathford/policy/request_state.py
+++ b/heathford/policy/request_state.py
@@ -5,11 +5,13 @@
 from math import inf
 from typing import Protocol
 
-from heathford.interface import NEVER_RAN, Clock, CompletionDoor, Effect, Group, Role, Verdict, Workload
+from heathford.interface import (
+    ANSWERED, NEVER_RAN, Clock, CompletionDoor, Effect, Group, Role, Verdict, Workload)
 from heathford.policy.engine_state import FAILURES, LIMITED, PACE_FADE, REST, Dispatch, Engine
 from heathford.policy.estimators import Fit, mixed_features, read_features
 
 AT_ONCE = 0.05  # share of the latency target in which a full queue says so; a limit on some work takes longer
+NEVER_ARRIVED = frozenset({Verdict.UNREACHABLE, Verdict.UNSENT, Verdict.CROWDED, Verdict.UNARRIVED})
 READS = 2.0  # times its predicted reading that a completion needs before its target: to read and to write
 
 
@@ -80,7 +82,9 @@
         if self.out is dispatch:
             self.out = None
         self.stuck = False  # looked at at once: a final answer may be due
-        if verdict is not Verdict.UNREACHABLE or not self.state:
+        # A dispatch that lasted for the hold has arrived: by then the carrier has looked (UNARRIVED).
+        arrived = verdict in ANSWERED or (verdict not in NEVER_ARRIVED and latency >= self.router.hold)
+        if arrived or not self.state:
             self.held_since = now
         elif now - self.held_since >= self.router.hold:
             # Guards against a state pinned while one writer after the other can't be reached: nothing came to
@@ -100,7 +104,7 @@
             engine.hinted = engine.hinted * PACE_FADE + self.answer * self.workload.token_target
         elif verdict is Verdict.FULL and detail:
             self.let_go()  # gone, or out of the writer's reach and still pinned: read again
-        elif verdict is Verdict.FULL:
+        elif verdict in (Verdict.FULL, Verdict.CROWDED):
             limited = latency > AT_ONCE * self.target  # what is short of room says so at once, and to all
             engine.rest(self.origin if limited else None, dispatch.sent, now, LIMITED if limited else REST)
         elif verdict in FAILURES and not dispatch.streaming and (
--- a/heathford/standin/link.py
+++ b/heathford/standin/link.py
@@ -46,6 +46,9 @@
         self.done()
         self.events.ended(Verdict.CANCELLED, 0, {}, {})
 
+    def give_up_unless_arrived(self) -> None:
+        """What was sent has arrived, here."""
+
     def withdraw(self) -> None:
         """What was sent here has begun."""
 
--- a/heathford/wire/socket_state.py
+++ b/heathford/wire/socket_state.py
@@ -1,9 +1,14 @@
 """What the kernel knows of a connected socket that the event loop has not come to yet."""
 
 import asyncio
+import fcntl
 import select
+import struct
 from dataclasses import dataclass
 
+UNCONFIRMED = 0x5411  # SIOCOUTQ: bytes in the send queue that the peer has not confirmed
+UNSENT = 0x894B  # SIOCOUTQNSD: those of them that have not been sent at all
+
 
 @dataclass(frozen=True)
 class SocketState:
@@ -31,3 +36,30 @@
     flags = found[0][1] if found else 0
     ended = bool(flags & (select.POLLRDHUP | select.POLLHUP | select.POLLERR))
     return SocketState(unread=bool(flags), ended=ended)
+
+
+@dataclass(frozen=True)
+class Undelivered:
+    """Bytes written that the peer's machine has not confirmed; `unsent`: those that never left this one."""
+
+    unconfirmed: int
+    unsent: int
+
+
+def undelivered(transport: asyncio.Transport | None) -> Undelivered:
+    """Ask the kernel, without waiting. Where it does not say, all that was written counts as delivered.
+
+    Guards against requests that count as sent because the kernel has taken them: behind a peer that reads
+    nothing, or a cut, they lie in this machine. Costs two calls to the kernel.
+    """
+    if transport is None or transport.is_closing():
+        return Undelivered(0, 0)
+    descriptor = transport.get_extra_info("socket").fileno()
+    counts = []
+    for question in (UNCONFIRMED, UNSENT):
+        try:
+            answer = fcntl.ioctl(descriptor, question, bytes(4))
+        except OSError:
+            return Undelivered(0, 0)
+        counts.append(max(0, struct.unpack("i", answer)[0]))
+    return Undelivered(*counts)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -156,6 +156,9 @@
         self.cancelled = True
         self.events.ended(Verdict.CANCELLED, 0, {}, {})
 
+    def give_up_unless_arrived(self) -> None:
+        """What was sent has arrived, here."""
+
     def withdraw(self) -> None:
         if not self.begun:
             self.withdrawn = True
