A gate decides at the last moment what may be sent, repeated, refused, closed or started

Rule 3, cause: core.py, Dispatch.wanted asked only for the client; between the decision and the first byte nothing looked at the list (platform/link.py, EngineCall.begin). Rule 2, the same gap: a repeat's window could end while its connection came up, and may_go_to (request_state.py) left no room for a hold-up of 0.15 s.

--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -13,7 +13,10 @@
 import structlog
 
 from heathford.core.doors import Call, Cancellable, Endpoint, Link, Loop, Sink
-from heathford.interface import NEVER_RAN, Handle, Health, Kind, Role, Verdict, Workload
+from heathford.core.gate import Attempt, Event, Gate, Reason, RequestLife, Rule, Stage, Target
+from heathford.core.history import History
+from heathford.interface import (
+    ANSWERED, NEVER_ARRIVED, NEVER_RAN, Handle, Health, Kind, Role, Verdict, Workload)
 from heathford.policy import Completion, Router
 
 FAULTS = 64  # faults in one decision after which it is left to the next turn: more is a loop, not a fault
@@ -43,18 +46,42 @@
         self.name = taken.name if taken.one_name else f"{taken.name}.{seq}"
         self.reading = endpoint.role is Role.READER
         self.streaming = self.over = False
+        self.ended_at = 0.0  # s on the loop's clock
+        self.arrived = False  # an engine has told so, or it lasted past the look
         self.arrival: Cancellable | None = None  # the look whether it has arrived
         self.call: Call | None = None
+        self.attempt = Attempt(taken.core.target(endpoint.number), self.reading, now)
+        taken.life.attempts.append(self.attempt)
+
+    def record(self, event: str, reason: str = "") -> None:
+        self.taken.core.history.add(self.taken.name, event, reason, self.seq, self.endpoint.name)
 
     def wanted(self) -> bool:
         """Guards against an attempt that begins once its client has gone: the end of its connection may lie
-        unread behind what it sent ahead, or behind what the loop is busy with."""
-        return not self.over and not self.taken.over and self.taken.sink.still_waits()
+        unread behind what it sent ahead, or behind what the loop is busy with. Also against one whose engine
+        has begun to drain, or whose window has ended, while it waited for its connection or a release."""
+        core, taken = self.taken.core, self.taken
+        if self.over or taken.over:
+            return False
+        waits = taken.sink.still_waits()  # which may end it
+        if self.over or taken.over:
+            return False
+        reason = core.gate.may_send(
+            taken.life, self.attempt, core.target(self.endpoint.number), waits, core.loop.time())
+        if reason is not Reason.ALLOWED:
+            self.record("not sent", reason.value)
+            return False
+        core.gate.step(taken.life, Event.SENT)
+        self.record("sent")
+        return True
 
     def first_token(self) -> None:
         if self.over or self.streaming:
             return
         self.streaming = True
+        if self.taken.life.stage is Stage.SENT:  # else its client has just been answered or has left
+            self.taken.core.gate.step(self.taken.life, Event.FIRST_EVENT)
+        self.record("first event")
         core, taken = self.taken.core, self.taken
         latency = core.loop.time() - self.sent
         if taken.timer:
@@ -82,7 +109,12 @@
         if self.arrival:
             self.arrival.cancel()
         taken, core = self.taken, self.taken.core
-        latency = core.loop.time() - self.sent
+        self.attempt.verdict = verdict
+        core.gate.step(taken.life, Event.ENDED)
+        self.record("ended", verdict.value)
+        self.ended_at = core.loop.time()
+        latency = self.ended_at - self.sent
+        self.arrived = verdict in ANSWERED or (verdict not in NEVER_ARRIVED and latency >= core.hold)
         if taken.out is self:
             taken.out = None
         if verdict is Verdict.READ:
@@ -106,17 +138,21 @@
 
     def __init__(
         self, core: "Core", sink: Sink, name: str, one_name: bool, body: Any, mark: str, due: float,
+        workload: Workload,
     ) -> None:
         self.core, self.sink, self.name, self.body, self.mark = core, sink, name, body, mark
-        self.one_name, self.due = one_name, due  # one_name: its dispatches are all called as itself
+        self.life = RequestLife(name, workload)
+        core.history.add(name, "taken")
+        self.due = due
+        self.one_name: bool = one_name  # one_name: its dispatches are all called as itself
         self.handle: Completion | None = None
         self.dispatches: list[Dispatch] = []
         self.out: Dispatch | None = None
         self.kv: Mapping[str, Any] | None = None
         self.state_at: Dispatch | None = None  # the reading dispatch that left the state
-        self.read_at = 0.0  # s on the loop's clock at which the state was left
-        self.over = False  # final answer given, or the client has gone
-        self.abandoned = False  # its decision failed: nothing more is asked of its handle
+        self.read_at: float = 0.0  # s on the loop's clock at which the state was left
+        self.over: bool = False  # final answer given, or the client has gone
+        self.abandoned: bool = False  # its decision failed: nothing more is asked of its handle
         self.timer: Cancellable | None = core.loop.call_at(due + core.answer_margin / 2, self.overdue)
 
     # What the Router asks for: heathford.interface.CompletionDoor.
@@ -126,6 +162,8 @@
         dispatch = Dispatch(self, len(self.dispatches), core.endpoints[engine], core.loop.time())
         self.dispatches.append(dispatch)
         self.out = dispatch
+        core.gate.step(self.life, Event.HANDED_OVER)
+        dispatch.record("handed over")
         kv = None if dispatch.reading else self.kv
         try:
             dispatch.call = core.link.send(
@@ -145,16 +183,19 @@
             self.stop(self.dispatches[seq])
 
     def rate_limit(self, retry_after: float) -> None:
-        if self.close("rate_limited"):
+        if not self.over and self.core.gate.may_answer_refused(self.life) is not Reason.ALLOWED:
+            self.abort("it may have run")
+        elif self.close("rate_limited"):
             self.core.guarded(self.sink, lambda: self.sink.rate_limited(retry_after))
 
     def abort(self, why: str = "given up") -> None:
-        if self.close("aborted"):
+        if self.close("aborted", why):
             self.core.guarded(self.sink, lambda: self.sink.aborted(why))
 
     def release(self) -> None:
         if self.state_at:
             self.let_go(self.state_at)
+            self.check_held()
         self.kv = self.state_at = None
 
     # What the front says.
@@ -177,17 +218,28 @@
         if self.close("finished"):
             self.core.guarded(self.sink, lambda: self.sink.finished(reason, usage))
 
+    def check_held(self) -> None:
+        """The clock of what is held starts anew with each attempt that has arrived."""
+        since = self.read_at
+        for dispatch in self.dispatches:
+            if dispatch.attempt.verdict is not None and not dispatch.reading and dispatch.arrived:
+                since = max(since, dispatch.ended_at)
+        self.core.gate.check_held(self.name, self.core.loop.time() - since, self.core.pin_limit)
+
     def let_go(self, dispatch: Dispatch) -> None:
         """Now, before the next dispatch: one that can't connect, or whose bytes reach nobody, stops no clock,
         and several in a row outlast the pin limit. Where all have one name the link holds what is sent next
         until the release is through, so that it takes no later state. Costs that dispatch a round trip."""
+        dispatch.record("release")
         self.core.link.release(dispatch.endpoint, dispatch.name)
 
-    def close(self, how: str) -> bool:
+    def close(self, how: str, why: str = "") -> bool:
         """True for the first call only: a completion gets one final answer."""
         if self.over:
             return False
         self.over = True
+        self.core.gate.step(self.life, Event.LEFT if how == "left" else Event.ANSWERED)
+        self.core.history.add(self.name, how, why)
         if self.timer:
             self.timer.cancel()
             self.timer = None
@@ -250,6 +302,8 @@
         self.clock = TurnClock()
         self.clock.now = loop.time()
         self.tally = Tally()
+        self.history = History(loop.time)
+        self.gate = Gate(self.violated)
         self.endpoints: dict[int, Endpoint] = {}
         self.live: dict[Taken, None] = {}
         self.touched: dict[Taken, None] = {}  # this turn
@@ -276,6 +330,17 @@
     def trace(self, text: str) -> None:
         log.info("trace", text=text)
 
+    # What the gate asks and says.
+
+    def target(self, number: int) -> Target:
+        """An engine as the list says now; one that it no longer names is gone."""
+        engine = self.router.engines.get(number)
+        return Target(engine.health, engine.zone, engine.cell) if engine else Target(Health.GONE, -1, -1)
+
+    def violated(self, rule: Rule, name: str, what: str) -> None:
+        log.error("rule violated", rule=rule.name, what=what, request=name,
+                  history=[tuple(record) for record in self.history.of(name)])
+
     # What fronts and the list say.
 
     def take(
@@ -290,7 +355,8 @@
         self.tally.taken += 1
         since = self.loop.time() if received is None else received
         due = since + timeout - self.answer_margin
-        taken = Taken(self, sink, name or f"cmpl-{self.name}-{self.count}", bool(name), body, mark, due)
+        taken = Taken(self, sink, name or f"cmpl-{self.name}-{self.count}", bool(name), body, mark, due,
+                      self.workloads[workload])
         self.live[taken] = None
 
         def begin() -> None:
--- /dev/null
+++ b/heathford/core/history.py
@@ -0,0 +1,45 @@
+"""What happened to the last few thousand requests, kept in memory and written out when something is wrong.
+
+A record is a plain tuple, since several are made for each request; `Record` names its fields.
+"""
+
+from collections import Counter, deque
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+RECORDS = 4_096  # some hundred requests of a busy front node: what led to a violation is among them
+WRITTEN_AT_MOST = 400  # records written out at once: a log line each
+
+
+class Record(NamedTuple):
+    """time: s on the loop's clock; attempt: its number, -1 where none is meant."""
+
+    time: float
+    request: str
+    event: str
+    attempt: int
+    engine: str
+    reason: str
+
+
+class History:
+    """A ring of records, and counts of all reasons since the start."""
+
+    def __init__(self, clock: Callable[[], float]) -> None:
+        self.clock = clock
+        self.records: deque[Record] = deque(maxlen=RECORDS)
+        self.reasons: Counter[str] = Counter()
+
+    def add(self, request: str, event: str, reason: str = "", attempt: int = -1, engine: str = "") -> None:
+        self.records.append(Record(self.clock(), request, event, attempt, engine, reason))
+        if reason:
+            self.reasons[f"{event}: {reason}"] += 1
+
+    def of(self, request: str) -> list[Record]:
+        """All that is still known of one request."""
+        return [record for record in self.records if record.request == request]
+
+    def newest(self) -> Iterator[Record]:
+        """The last records, oldest first."""
+        skipped = max(0, len(self.records) - WRITTEN_AT_MOST)
+        return (record for place, record in enumerate(self.records) if place >= skipped)
--- a/heathford/interface.py
+++ b/heathford/interface.py
@@ -59,6 +59,9 @@
 NEVER_RAN = frozenset({
     Verdict.FULL, Verdict.UNREACHABLE, Verdict.UNSENT, Verdict.READ, Verdict.CROWDED})
 
+# Outcomes after which the last byte has not reached the engine, as far as is known.
+NEVER_ARRIVED = frozenset({Verdict.UNREACHABLE, Verdict.UNSENT, Verdict.CROWDED, Verdict.UNARRIVED})
+
 # Outcomes that an engine has told itself: the dispatch has reached it.
 ANSWERED = frozenset({Verdict.FULL, Verdict.READ, Verdict.ERROR, Verdict.FINISHED})
 
--- a/heathford/platform/client_connection.py
+++ b/heathford/platform/client_connection.py
@@ -11,6 +11,7 @@
 import structlog
 
 from heathford.core.core import Core, Taken
+from heathford.core.gate import Reason
 from heathford.platform.asking import ask
 from heathford.platform.eviction import Idleness
 from heathford.platform.responses import CLOSING, STREAM, whole
@@ -126,10 +127,9 @@
             self.answer(whole(status, text, clients.stopping), request.keep)
             return
         try:
-            if not received.kept:
-                raise RefusedError(503, "too many requests at once")
-            if received.ended >= clients.refuses_from:
-                raise RefusedError(503, "this front node is ending")
+            reason = clients.core.gate.may_start(received.kept, received.ended, clients.refuses_from)
+            if reason is not Reason.ALLOWED:
+                raise RefusedError(503, f"not begun: {reason.value}")
             self.take(request, received.began)
         except RefusedError as problem:
             self.refuse(problem, request.keep)
@@ -152,6 +152,7 @@
     def refuse(self, problem: RefusedError, keep: bool) -> None:
         """keep: what was whole but made no sense leaves the connection in order; anything else does not."""
         self.clients.refused[problem.status] += 1
+        self.record("refused", str(problem.status))
         self.answer(whole(problem.status, str(problem), not keep), keep)
 
     def forget(self) -> None:
@@ -168,6 +169,7 @@
         if transport.get_write_buffer_size() > UNSENT:
             # Guards against a client that asks and does not read. Could harm one on a line slower than its
             # own answer for a thousand events.
+            self.record("closed", "reads too slowly")
             self.drop()
             self.leave()
 
@@ -205,16 +207,24 @@
     def finish_if_idle(self) -> bool:
         """Shut a connection that nothing is owed on. Guards against a shutdown behind a request that waits in
         the kernel: it would be read, and never answered. It is looked at again once that has been read."""
-        if self.closing or self.busy or self.reader.begun or self.unread:
+        if self.closing or self.may_close() is not Reason.ALLOWED:
             return False
+        self.record("closed", "idle")
         self.finish()
         return True
 
+    def may_close(self) -> Reason:
+        return self.clients.core.gate.may_close(self.busy, self.reader.begun, self.unread)
+
+    def record(self, event: str, reason: str) -> None:
+        self.clients.core.history.add(self.name, event, reason)
+
     def evict(self) -> bool:
         """Make way for another connection; not where an answer is owed or on its way, or more has come. Half
         a request is told why."""
         if self.busy or not self.flushed or (self.unread and not self.closing):
             return False
+        self.record("closed", "evicted")
         if self.reader.begun:
             self.clients.refused[503] += 1
             self.write(whole(503, "no room for a request so slow", True))
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -39,6 +39,7 @@
 FIRST_LIST = 0.5  # s that the agent may take for its first list: it answers at once, or is silent while
 # discovery is down. Two calls and more fit in; a start may take 10 s
 LIST_AGAIN = 0.5  # s after a change of the list that could not be taken until the whole list is asked for
+REASONS_TOLD = 40  # in a state line, the most frequent ones
 TELL = 5.0  # s between two lines on what this front believes
 
 log = structlog.get_logger()
@@ -146,11 +147,20 @@
             refused=dict(self.clients.refused), ends={v.value: n for v, n in self.link.ends.items()},
             spoilt=self.link.spoilt, unreleased=self.link.unreleased, engines=len(router.engines),
             conns=self.link.pools.open, version=self.instances.version, lag=round(self.lag, 3),
+            violations={rule.name: n for rule, n in self.core.gate.violations.items()},
+            gate={reason.name: n for reason, n in self.core.gate.refused.items()},
+            reasons=dict(self.core.history.reasons.most_common(REASONS_TOLD)),
             logs_dropped=LOGS.dropped, mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
             cpu=round(time.process_time(), 2))
         self.lag = 0.0
         self.loop.call_later(TELL, self.tell)
 
+    def tell_history(self) -> None:
+        """SIGUSR1: what happened to the last requests, both clocks in each line."""
+        wall_ahead = time.time() - self.loop.time()
+        for record in self.core.history.newest():
+            log.info("history", wall=round(record.time + wall_ahead, 3), **record._asdict())
+
     def reload(self) -> None:
         """SIGHUP: follows discovery where the configuration now says it is. One that can't be used is told,
         and the old one kept; whatever else it changes counts from the next start."""
@@ -219,7 +229,8 @@
     name, listen, discovery, path = from_environment(variables)
     node = Node(name, listen, discovery, told(path), path)
     acts: dict[signal.Signals, Callable[[], None]] = {
-        signal.SIGTERM: node.terminate, signal.SIGINT: node.terminate, signal.SIGHUP: node.reload}
+        signal.SIGTERM: node.terminate, signal.SIGINT: node.terminate, signal.SIGHUP: node.reload,
+        signal.SIGUSR1: node.tell_history}
     for sign, act in acts.items():
         loop.add_signal_handler(sign, act)
     for sign in EARLY.received:
--- a/heathford/policy/request_state.py
+++ b/heathford/policy/request_state.py
@@ -6,12 +6,12 @@
 from typing import Protocol
 
 from heathford.interface import (
-    ANSWERED, NEVER_RAN, Clock, CompletionDoor, Effect, Group, Role, Verdict, Workload)
+    ANSWERED, NEVER_ARRIVED, NEVER_RAN, Clock, CompletionDoor, Effect, Group, Role, Verdict, Workload)
 from heathford.policy.engine_state import FAILURES, LIMITED, PACE_FADE, REST, Dispatch, Engine
 from heathford.policy.estimators import Fit, mixed_features, read_features
 
 AT_ONCE = 0.05  # share of the latency target in which a full queue says so; a limit on some work takes longer
-NEVER_ARRIVED = frozenset({Verdict.UNREACHABLE, Verdict.UNSENT, Verdict.CROWDED, Verdict.UNARRIVED})
+HELD_UP = 0.15  # s that may pass between reading the clock and writing, as the users state
 READS = 2.0  # times its predicted reading that a completion needs before its target: to read and to write
 
 
@@ -140,7 +140,7 @@
         if self.workload.effect is Effect.NON_IDEMPOTENT:
             return False
         group = self.workload.group
-        return now - risky[0].sent < self.workload.memory_time and all(
+        return now + HELD_UP - risky[0].sent < self.workload.memory_time and all(
             group is Group.ALL or d.engine.cell == engine.cell
             or (group is Group.ZONE and d.engine.zone == engine.zone) for d in risky)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,12 +1,13 @@
 """A router with stand-in doors that record what it asks for."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import pytest
 
 from heathford.core.core import Core, Taken
 from heathford.core.doors import CallEvents, Endpoint
+from heathford.core.gate import Gate, Rule
 from heathford.interface import Effect, Group, Health, Kind, Role, Verdict, Workload
 from heathford.policy import Completion, Router
 
@@ -236,6 +237,20 @@
         self.loop.turn()
 
 
+@pytest.fixture(autouse=True)
+def no_violations(monkeypatch: pytest.MonkeyPatch) -> Iterator[list[str]]:
+    """A rule that the gate sees violated fails the test, whatever else it asserts."""
+    seen: list[str] = []
+    count = Gate.violation
+
+    def violation(self: Gate, rule: Rule, name: str, what: str) -> None:
+        seen.append(f"{rule.name}: {name}: {what}")
+        count(self, rule, name, what)
+    monkeypatch.setattr(Gate, "violation", violation)
+    yield seen
+    assert not seen
+
+
 @pytest.fixture
 def instance() -> Callable[..., Instance]:
     return Instance
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,154 @@
+"""The gate: all pairs of stage and event, and its answers with their reasons."""
+
+from itertools import product
+
+import pytest
+from conftest import Instance
+
+from heathford.core.gate import (
+    HELD_UP, TRANSITIONS, Attempt, Event, Gate, Reason, RequestLife, Rule, Stage, Target)
+from heathford.interface import Effect, Group, Health, Verdict, Workload
+
+HERE = Target(Health.ON, zone=0, cell=0)
+SAME_ZONE = Target(Health.ON, zone=0, cell=1)
+ELSEWHERE = Target(Health.ON, zone=1, cell=2)
+WINDOW = 2.0  # s
+OVER = (Stage.ANSWERED, Stage.LEFT)
+
+
+def life_of(effect: Effect = Effect.IDEMPOTENT, group: Group = Group.ALL) -> RequestLife:
+    return RequestLife("c0", Workload(1.0, 0.0, 0.05, effect, group, WINDOW, 1.0), Stage.WAITING)
+
+
+class Watched:
+    """A gate, and what it told of violations."""
+
+    def __init__(self) -> None:
+        self.told: list[Rule] = []
+        self.gate = Gate(lambda rule, name, what: self.told.append(rule))
+
+
+@pytest.mark.parametrize("stage, event", list(product(Stage, Event)))
+def test_each_step_is_taken_or_counted(
+    stage: Stage, event: Event, no_violations: list[str]
+) -> None:
+    watched, life = Watched(), life_of()
+    life.stage = stage
+    allowed = watched.gate.step(life, event)
+    assert allowed == ((stage, event) in TRANSITIONS)
+    assert life.stage is (TRANSITIONS[stage, event] if allowed else stage)
+    assert len(watched.told) == (not allowed) == watched.gate.violations.total()
+    no_violations.clear()
+
+
+def test_nothing_follows_a_final_answer_but_the_end_of_what_is_out() -> None:
+    assert {event for stage, event in TRANSITIONS if stage in OVER} == {Event.ENDED}
+
+
+@pytest.mark.parametrize("stage", list(Stage))
+def test_an_attempt_begins_only_where_it_waits_for_that(stage: Stage) -> None:
+    watched, life = Watched(), life_of()
+    life.stage = stage
+    attempt = Attempt(HERE, False, 0.0)
+    life.attempts.append(attempt)
+    reason = watched.gate.may_send(life, attempt, HERE, True, 0.0)
+    assert reason is (Reason.ALLOWED if stage is Stage.WAITING else Reason.OVER)
+
+
+@pytest.mark.parametrize("health, waits, reason", [
+    (Health.ON, True, Reason.ALLOWED), (Health.ON, False, Reason.CLIENT_GONE),
+    (Health.DRAINING, True, Reason.ENGINE_LEAVES), (Health.GONE, True, Reason.ENGINE_LEAVES)])
+def test_the_engine_and_the_client_are_asked_at_the_last_moment(
+    health: Health, waits: bool, reason: Reason
+) -> None:
+    watched, life = Watched(), life_of()
+    attempt = Attempt(HERE, True, 0.0)
+    life.attempts.append(attempt)
+    assert watched.gate.may_send(life, attempt, Target(health, 0, 0), waits, 0.0) is reason
+    assert watched.told == []
+
+
+@pytest.mark.parametrize("verdict", list(Verdict))
+@pytest.mark.parametrize("effect", list(Effect))
+def test_a_repeat_is_allowed_by_effect_and_by_what_the_earlier_one_may_have_done(
+    effect: Effect, verdict: Verdict, no_violations: list[str]
+) -> None:
+    watched, life = Watched(), life_of(effect)
+    life.attempts = [Attempt(HERE, False, 0.0, verdict), Attempt(HERE, False, 0.1)]
+    never_ran = verdict in (
+        Verdict.FULL, Verdict.UNREACHABLE, Verdict.UNSENT, Verdict.READ, Verdict.CROWDED)
+    allowed = never_ran or effect is not Effect.NON_IDEMPOTENT
+    reason = watched.gate.may_send(life, life.attempts[1], HERE, True, 0.2)
+    assert reason is (Reason.ALLOWED if allowed else Reason.MAY_HAVE_RUN)
+    refusable = allowed
+    life.attempts[1].verdict = Verdict.UNSENT
+    assert (watched.gate.may_answer_refused(life) is Reason.ALLOWED) == refusable
+    assert watched.told == [] if allowed else [Rule.NO_EFFECT_TWICE] * 2
+    no_violations.clear()
+
+
+def test_a_second_attempt_beside_one_that_is_out_is_a_violation(no_violations: list[str]) -> None:
+    watched, life = Watched(), life_of()
+    life.attempts = [Attempt(HERE, True, 0.0), Attempt(HERE, True, 0.1)]
+    assert watched.gate.may_send(life, life.attempts[1], HERE, True, 0.1) is Reason.ANOTHER_OUT
+    assert watched.told == [Rule.NO_EFFECT_TWICE]
+    no_violations.clear()
+
+
+@pytest.mark.parametrize("now, reason", [
+    (WINDOW - HELD_UP - 0.01, Reason.ALLOWED), (WINDOW - HELD_UP, Reason.WINDOW_OVER),
+    (WINDOW, Reason.WINDOW_OVER)])
+def test_the_window_allows_for_a_hold_up(now: float, reason: Reason) -> None:
+    watched, life = Watched(), life_of(Effect.TOKENED)
+    life.attempts = [Attempt(HERE, False, 0.0, Verdict.BROKEN), Attempt(HERE, False, 0.1)]
+    assert watched.gate.may_send(life, life.attempts[1], HERE, True, now) is reason
+
+
+@pytest.mark.parametrize("group, target, reason", [
+    (Group.ALL, ELSEWHERE, Reason.ALLOWED), (Group.ZONE, SAME_ZONE, Reason.ALLOWED),
+    (Group.ZONE, ELSEWHERE, Reason.OUTSIDE_GROUP), (Group.CELL, HERE, Reason.ALLOWED),
+    (Group.CELL, SAME_ZONE, Reason.OUTSIDE_GROUP)])
+def test_a_repeat_stays_in_its_group(
+    group: Group, target: Target, reason: Reason, no_violations: list[str]
+) -> None:
+    watched, life = Watched(), life_of(Effect.TOKENED, group)
+    life.attempts = [Attempt(HERE, False, 0.0, Verdict.BROKEN), Attempt(target, False, 0.1)]
+    assert watched.gate.may_send(life, life.attempts[1], target, True, 0.2) is reason
+    no_violations.clear()
+
+
+@pytest.mark.parametrize("owed, half, unread, reason", [
+    (True, False, False, Reason.ANSWER_OWED), (False, True, False, Reason.ANSWER_OWED),
+    (False, False, True, Reason.UNREAD), (False, False, False, Reason.ALLOWED)])
+def test_a_connection_is_closed_only_where_nothing_is_owed(
+    owed: bool, half: bool, unread: bool, reason: Reason
+) -> None:
+    assert Watched().gate.may_close(owed, half, unread) is reason
+
+
+@pytest.mark.parametrize("kept, read_at, reason", [
+    (True, 0.9, Reason.ALLOWED), (True, 1.0, Reason.ENDING), (False, 0.9, Reason.TOO_MUCH)])
+def test_new_work_starts_only_before_the_end(kept: bool, read_at: float, reason: Reason) -> None:
+    assert Watched().gate.may_start(kept, read_at, 1.0) is reason
+
+
+@pytest.mark.parametrize("seconds, broken", [(0.59, False), (0.61, True)])
+def test_what_is_held_too_long_is_counted(seconds: float, broken: bool, no_violations: list[str]) -> None:
+    watched = Watched()
+    watched.gate.check_held("c0", seconds, 0.3)
+    assert watched.told == [Rule.HELD] * broken
+    no_violations.clear()
+
+
+def test_a_history_tells_what_happened_to_a_request() -> None:
+    i = Instance()
+    i.engines((10, 0), (12, 1))
+    i.take()
+    i.read()
+    i.link.out[-1].events.first_token()
+    i.link.out[-1].events.ended(Verdict.FINISHED, 0, {}, {})
+    i.loop.turn()
+    assert [(r.event, r.attempt, r.engine) for r in i.core.history.of("cmpl-f-1")] == [
+        ("taken", -1, ""), ("handed over", 0, "e10"), ("ended", 0, "e10"), ("handed over", 1, "e12"),
+        ("first event", 1, "e12"), ("ended", 1, "e12"), ("finished", -1, "")]
+    assert i.core.history.reasons["ended: read"] == 1
