--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable, Mapping, Sequence
+from dataclasses import astuple
 from math import inf
 from traceback import walk_tb
 from typing import Any
@@ -339,7 +340,7 @@
 
     def violated(self, rule: Rule, name: str, what: str) -> None:
         log.error("rule violated", rule=rule.name, what=what, request=name,
-                  history=[tuple(record) for record in self.history.of(name)])
+                  history=[astuple(record) for record in self.history.of(name)])
 
     # What fronts and the list say.
 
--- a/heathford/core/history.py
+++ b/heathford/core/history.py
@@ -1,17 +1,18 @@
 """What happened to the last few thousand requests, kept in memory and written out when something is wrong.
 
-A record is a plain tuple, since several are made for each request; `Record` names its fields.
+Several records are made for each request, so they are as small as they can be.
 """
 
 from collections import Counter, deque
 from collections.abc import Callable, Iterator
-from typing import NamedTuple
+from dataclasses import dataclass
 
 RECORDS = 4_096  # some hundred requests of a busy front node: what led to a violation is among them
 WRITTEN_AT_MOST = 400  # records written out at once: a log line each
 
 
-class Record(NamedTuple):
+@dataclass(slots=True)
+class Record:
     """time: s on the loop's clock; attempt: its number, -1 where none is meant."""
 
     time: float
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -8,7 +8,7 @@
 import socket
 import time
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any
 
@@ -159,7 +159,7 @@
         """SIGUSR1: what happened to the last requests, both clocks in each line."""
         wall_ahead = time.time() - self.loop.time()
         for record in self.core.history.newest():
-            log.info("history", wall=round(record.time + wall_ahead, 3), **record._asdict())
+            log.info("history", wall=round(record.time + wall_ahead, 3), **asdict(record))
 
     def reload(self) -> None:
         """SIGHUP: follows discovery where the configuration now says it is. One that can't be used is told,
