A failing test: discovery that takes 0.2 s to answer is never heard

Run: no list within 6 s at 0.13, 0.2, 0.5 and 1.0 s; 0.11 s works (follower.py, ANSWER_WITHIN 0.12).

--- /dev/null
+++ b/tests/test_slow_discovery.py
@@ -0,0 +1,54 @@
+"""Discovery that is slow to answer is heard."""
+
+import asyncio
+
+import pytest
+
+from heathford.discovery.client import DiscoveryClient
+from heathford.discovery.follower import ListChange
+from heathford.fleet.instances import Instances
+from heathford.interface import Role
+from heathford.standin.platform import Agent, ScriptedEngine
+from heathford.wire.requests import Request
+
+WITHIN = 6.0  # s after which a change counts, whatever call failed
+
+
+class SlowAgent(Agent):
+    """Every answer begins that many seconds after it was asked for."""
+
+    delay = 0.0
+    calls = 0
+
+    async def answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
+        self.calls += 1
+        await asyncio.sleep(self.delay)
+        await super().answer(request, writer)
+
+
+async def followed(agent: SlowAgent, changes: list[ListChange]) -> DiscoveryClient:
+    host, _, port = (await agent.open()).rpartition(":")
+    client = DiscoveryClient(
+        host, int(port), Instances({"m0": (0, Role.READER)}, ["a"]), changes.append)
+    client.start()
+    return client
+
+
+def engine() -> ScriptedEngine:
+    made = ScriptedEngine("r", "m0", True)
+    made.address = "127.0.0.1:9"
+    return made
+
+
+@pytest.mark.parametrize("delay", [0.2])
+def test_a_slow_agent_is_heard(delay: float) -> None:
+    async def day() -> None:
+        agent = SlowAgent(engine())
+        agent.delay = delay
+        changes: list[ListChange] = []
+        client = await followed(agent, changes)
+        assert await client.first(WITHIN)
+        assert len(changes) == 1 and changes[0].complete
+        client.stop()
+        agent.close()
+    asyncio.run(day())
