A list of discovery that comes slowly is listened to beside the next call

Cause: follower.py, ANSWER_WITHIN 0.12 s is there for the shortest drain grace after an outage, and a call given up was dropped, so an agent that needs longer never got an answer through; list_within grew only for lists that had begun. One more descriptor is set aside.

--- a/heathford/discovery/client.py
+++ b/heathford/discovery/client.py
@@ -27,7 +27,7 @@
         """Send the call, unless it has been given up meanwhile."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        if self.client.protocol is not self:
+        if self.client.protocols.get(self.call) is not self:
             transport.abort()
             return
         headers = {"Accept": "application/json"}
@@ -57,8 +57,8 @@
         self.loop = asyncio.get_running_loop()
         self.follower = DiscoveryFollower(endpoints, self.tell(changed))
         self.first_list = asyncio.Event()
-        self.protocol: CallProtocol | None = None  # of the call that is open
-        self.connecting: asyncio.Task[None] | None = None
+        self.protocols: dict[Call, CallProtocol] = {}  # of the calls that are open
+        self.connecting: dict[Call, asyncio.Task[None]] = {}
         self.timer: asyncio.TimerHandle | None = None
         self.failures_seen = 0
 
@@ -94,15 +94,16 @@
         return told
 
     def follow(self) -> None:
-        """Do what the follower wants now: exactly its call is open, and its clock is set."""
+        """Do what the follower wants now: exactly its calls are open, and its clock is set."""
         follower = self.follower
         if follower.listed:
             self.first_list.set()
         self.log_failures()
-        if follower.call is not (self.protocol.call if self.protocol else None):
-            self.drop()
-            if follower.call:
-                self.open(follower.call)
+        calls = follower.calls
+        for call in [call for call in self.protocols if call not in calls]:
+            self.drop(call)
+        if follower.call and follower.call not in self.protocols:
+            self.open(follower.call)
         if self.timer:
             self.timer.cancel()
             self.timer = None
@@ -121,8 +122,8 @@
         self.failures_seen = failures
 
     def open(self, call: Call) -> None:
-        self.protocol = CallProtocol(self, call)
-        self.connecting = self.loop.create_task(self.connect(self.protocol))
+        protocol = self.protocols[call] = CallProtocol(self, call)
+        self.connecting[call] = self.loop.create_task(self.connect(protocol))
 
     async def connect(self, protocol: CallProtocol) -> None:
         try:
@@ -132,11 +133,11 @@
             self.follower.ended(protocol.call, f"could not connect: {error}", self.loop.time())
             self.follow()
 
-    def drop(self) -> None:
-        """Close the connection of the call that was open, at once."""
-        protocol, self.protocol = self.protocol, None
-        if self.connecting:
-            self.connecting.cancel()
-            self.connecting = None
-        if protocol and protocol.transport:
+    def drop(self, call: Call) -> None:
+        """Close the connection of a call, at once."""
+        protocol = self.protocols.pop(call)
+        connecting = self.connecting.pop(call, None)
+        if connecting:
+            connecting.cancel()
+        if protocol.transport:
             protocol.transport.abort()
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -28,8 +28,8 @@
 
 ANSWER_MARGIN = 0.02  # s before the client timeout by which it is answered: the way to it, and the loop's lag
 ACCEPTED = 8  # connections accepted in one turn of the loop: those to be closed go between two turns
-OWN_DESCRIPTORS = 16  # standard streams, the loop's own, the listening socket, the configuration's file, and
-# two calls to discovery: the one that is given up and the next
+OWN_DESCRIPTORS = 17  # standard streams, the loop's own, the listening socket, the configuration's file, and
+# three calls to discovery: the one that is listened to for longer, one that is given up, and the next
 RESERVED = OWN_DESCRIPTORS + 3 * ACCEPTED  # accepted, but not counted or not closed yet for up to three turns
 CLIENT_PART = 0.55  # of the others: clients hold a third of all for requests, idle ones come beside them
 BACKLOG = 1024  # connections that wait in the socket
--- a/tests/test_races_links.py
+++ b/tests/test_races_links.py
@@ -141,8 +141,8 @@
             made(self, transport)
         monkeypatch.setattr(CallProtocol, "connection_made", moved)
         watch.move(watch.address, watch.port)
-        await until(lambda: watch.protocol is not None and watch.protocol is not closed[0]
-                    if closed else False, "another call")
+        await until(lambda: bool(closed) and bool(watch.protocols)
+                    and closed[0] not in watch.protocols.values(), "another call")
         await play.agent.until_watched()
         await turns()
         assert closed[0].transport is not None and closed[0].transport.is_closing()
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -1,4 +1,4 @@
-"""Discovery that is slow to answer is heard."""
+"""Discovery that is slow to answer is heard, and a drain after an outage is still noticed at once."""
 
 import asyncio
 
@@ -12,6 +12,7 @@
 from heathford.wire.requests import Request
 
 WITHIN = 6.0  # s after which a change counts, whatever call failed
+GRACE = 0.25  # s: the shortest drain grace known
 
 
 class SlowAgent(Agent):
@@ -40,7 +41,7 @@
     return made
 
 
-@pytest.mark.parametrize("delay", [0.2])
+@pytest.mark.parametrize("delay", [0.11, 0.13, 0.2, 0.5, 1.0])
 def test_a_slow_agent_is_heard(delay: float) -> None:
     async def day() -> None:
         agent = SlowAgent(engine())
@@ -52,3 +53,21 @@
         client.stop()
         agent.close()
     asyncio.run(day())
+
+
+@pytest.mark.parametrize("delay, within", [(0.0, GRACE), (0.5, WITHIN), (2.0, WITHIN)])
+def test_after_an_outage_the_list_is_there_in_time(delay: float, within: float) -> None:
+    """What was asked while discovery was down is never answered."""
+    async def day() -> None:
+        agent = SlowAgent(engine())
+        agent.silent = True
+        changes: list[ListChange] = []
+        client = await followed(agent, changes)
+        await asyncio.sleep(1.0)
+        agent.delay, agent.silent = delay, False
+        assert await client.first(within)
+        assert len(client.protocols) == 1
+        client.stop()
+        assert not client.protocols
+        agent.close()
+    asyncio.run(day())
