--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -150,3 +150,26 @@
     assert pools.open == 3
     pools.sweep(15.0)
     assert pools.open == 0 and not pools.pools
+
+
+STEPS = [3_600.0]
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_a_wall_clock_that_steps_in_service_makes_no_engine_older_or_younger(step: float) -> None:
+    """An engine started 0.2 s ago is cold, one started long ago is warm, whatever the wall clock says."""
+    instances = Instances({"m0": (0, Role.READER)}, ["a"])
+    wall = 1_700_000_000.0
+
+    def entry(uid: str, age: float, now: float) -> dict[str, Any]:
+        return {"uid": uid, "endpoint": "127.0.0.1:9", "az": "a", "model": "m0", "pod_group": 0,
+                "state": "SERVING", "capacity_hint": 1.0, "boot_ms": int(1000 * (wall + now - 100.0 - age))}
+    instances.told_object({"rev": 1, "all": True, "targets": [entry("old", 500.0, 100.0)]}, 100.0, wall)
+    change = {"rev": 2, "all": False, "targets": [entry("new", 0.2, 110.0), entry("late", 60.0, 110.0)]}
+    instances.told_object(change, 110.0, wall + 10.0 + step)
+    started = {uid: row[6] for uid, row in instances.rows.items()}
+    assert started["new"] == pytest.approx(109.8, abs=0.01)
+    assert started["late"] == pytest.approx(50.0, abs=0.01)
+    assert started["old"] == pytest.approx(-400.0, abs=0.01)
+
+
