Ages of engines are taken from the front's own clock, which nobody sets

Cause: instances.py, row: started = now - (wall - boot_ms), at each change of the list, by the wall clock as it was set then. Change: what the wall clock said at the first list counts from then on and runs on by the loop's clock (keep_time); true time is never before a start that has been told, up to two hours.

--- a/heathford/fleet/instances.py
+++ b/heathford/fleet/instances.py
@@ -12,6 +12,7 @@
 STATES = {"SERVING": Health.ON, "DRAINING": Health.DRAINING, "DELETED": Health.GONE}
 LONGEST = 4_194_304  # bytes of a list: thousands of engines
 MOST_GONE = 1_024  # instances remembered as gone in case discovery goes back: as many as lists have
+CLOCK_BEHIND = 7_200.0  # s that the wall clock may be behind a start that is told: more is taken for nonsense
 HEALTH_ORDER = (Health.ON, Health.DRAINING, Health.GONE)  # the later, the less may be sent there
 
 
@@ -32,6 +33,7 @@
         self.rows: dict[str, Row] = {}  # as last read, by uid
         self.started: dict[str, tuple[int, float]] = {}  # as told, and s on the front's clock
         self.passed: dict[str, str] = {}
+        self.wall_ahead: float | None = None  # s of true time since 1970 at zero on the front's clock
 
     def told(
         self, body: bytes, now: float, wall: float, listed: bool = False
@@ -55,6 +57,7 @@
         present: dict[str, None] = {}
         nameless = False
         self.passed = {}
+        self.keep_time(now, wall, entries)
         for entry in entries:
             held = self.held(entry)
             try:
@@ -116,6 +119,21 @@
         on = [row for row in self.rows.values() if row[4] is Health.ON]
         return [row[0] for row in on if row[1] == zone], [row[0] for row in on if row[1] != zone]
 
+    def keep_time(self, now: float, wall: float, entries: Sequence[Any]) -> None:
+        """Take true time from the wall clock once, and run on by the front's own, which nobody sets.
+
+        Guards against a wall clock that steps in service: set forward, an engine that has just started looked
+        warm; set back, every engine that names a start looked new. What the wall clock said at the first list
+        counts from then on, and true time is never before a start that has been told. Could harm where the
+        wall clock was wrong at the start and is set right later: until the next start ages are off by that.
+        """
+        if self.wall_ahead is None:
+            self.wall_ahead = wall - now
+        for entry in entries:
+            boot = entry.get("boot_ms") if isinstance(entry, dict) else None
+            if isinstance(boot, int) and boot / 1000 <= wall + CLOCK_BEHIND:
+                self.wall_ahead = max(self.wall_ahead, boot / 1000 - now)
+
     def forget(self, uid: str) -> None:
         self.rows.pop(uid, None)
         boot, _ = self.started.pop(uid, (0, 0.0))
@@ -145,6 +163,7 @@
         if told != boot:
             # Kept by what was told, so that a clock that is set does not make a running process look new.
             # On the front's clock, which may have begun later than the process: then it lies before zero.
-            started = (now - max(wall - boot / 1000, 0.0) or 1e-6) if boot else 0.0
+            age = now + (self.wall_ahead or 0.0) - boot / 1000
+            started = (now - max(age, 0.0) or 1e-6) if boot else 0.0
             self.started[uid] = boot, started
         return uid, (endpoint, zone, place, group, health, size, started)
--- a/tests/test_instances.py
+++ b/tests/test_instances.py
@@ -152,7 +152,7 @@
     assert pools.open == 0 and not pools.pools
 
 
-STEPS = [3_600.0]
+STEPS = [5.0, 3_600.0, -5.0, -3_600.0]
 
 
 @pytest.mark.parametrize("step", STEPS)
@@ -173,3 +173,12 @@
     assert started["old"] == pytest.approx(-400.0, abs=0.01)
 
 
+def test_true_time_is_never_before_a_start_that_was_told() -> None:
+    """The wall clock was an hour behind when the process started."""
+    instances = Instances({"m0": (0, Role.READER)}, ["a"])
+    true = 1_700_000_000.0
+    entries = [{"uid": uid, "endpoint": "127.0.0.1:9", "az": "a", "model": "m0", "pod_group": 0,
+                "state": "SERVING", "capacity_hint": 1.0, "boot_ms": int(1000 * (true - age))}
+               for uid, age in (("warm", 60.0), ("new", 0.0), ("odd", -1e9))]
+    instances.told_object({"rev": 1, "all": True, "targets": entries}, 100.0, true - 3_600.0)
+    assert instances.rows["warm"][6] == pytest.approx(40.0, abs=0.01)
