--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -774,3 +774,20 @@
     b.asked()
     b.end(b.take(session="t"), Verdict.READ)
     assert [done for done in b.asked() if done[0] == "send"][-1] == ("send", writer)
+
+
+@pytest.mark.parametrize("group", [Group.ZONE])
+def test_a_repeat_stays_in_its_zone_where_no_cells_are_told(bench: New, group: Group) -> None:
+    """A layout without cells names none: all engines look like one cell, in whatever zone they lie."""
+    b = bench(effect=TOKENED, group=group)
+    b.router.list_begins(True)
+    for number, zone, kind in ((1, 0, 0), (2, 0, 1), (3, 1, 1)):
+        b.router.list_row(number, zone, kind, 0, Health.ON, 1.0, 0.0)
+    b.router.list_ends()
+    c = b.take()
+    b.end(c, Verdict.READ)
+    first = c.dispatches[-1].engine
+    first.health = Health.DRAINING
+    b.asked()
+    b.end(c, Verdict.BROKEN)
+    assert "send" not in [asked[0] for asked in b.asked()]
