A keyed repeat stays in the zone of its group, whether or not cells are told

Cause: may_go_to (request_state.py) took equal cells for enough; the gate repeated it. A list without pod_group puts all engines into cell 0, of whatever zone. Change: zones are compared first, cells within them.

--- a/heathford/core/gate.py
+++ b/heathford/core/gate.py
@@ -183,9 +183,11 @@
         if now + HELD_UP - risks[0].sent_at >= workload.memory_time:
             return self.refuse(Reason.WINDOW_OVER)
         for other in risks:
-            same_cell = other.target.cell == target.cell
-            same_zone = workload.group is Group.ZONE and other.target.zone == target.zone
-            if workload.group is not Group.ALL and not same_cell and not same_zone:
+            # Cells lie in zones; where the list names no cells all engines look like one.
+            same_zone = other.target.zone == target.zone
+            same_cell = same_zone and other.target.cell == target.cell
+            known = same_zone if workload.group is Group.ZONE else same_cell
+            if workload.group is not Group.ALL and not known:
                 self.violation(Rule.NO_EFFECT_TWICE, life.name, "a repeat outside its group")
                 return self.refuse(Reason.OUTSIDE_GROUP)
         return Reason.ALLOWED
--- a/heathford/policy/request_state.py
+++ b/heathford/policy/request_state.py
@@ -141,8 +141,8 @@
             return False
         group = self.workload.group
         return now + HELD_UP - risky[0].sent < self.workload.memory_time and all(
-            group is Group.ALL or d.engine.cell == engine.cell
-            or (group is Group.ZONE and d.engine.zone == engine.zone) for d in risky)
+            group is Group.ALL or (d.engine.zone == engine.zone and (
+                group is Group.ZONE or d.engine.cell == engine.cell)) for d in risky)
 
     def give_up(self) -> None:
         if not self.dispatches and self.late_at > -inf:  # a guess of ours says nothing of what engines can do
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -12,6 +12,7 @@
 HERE = Target(Health.ON, zone=0, cell=0)
 SAME_ZONE = Target(Health.ON, zone=0, cell=1)
 ELSEWHERE = Target(Health.ON, zone=1, cell=2)
+NO_CELLS = Target(Health.ON, zone=1, cell=0)  # in another zone, and told as of the same cell
 WINDOW = 2.0  # s
 OVER = (Stage.ANSWERED, Stage.LEFT)
 
@@ -107,7 +108,8 @@
 @pytest.mark.parametrize("group, target, reason", [
     (Group.ALL, ELSEWHERE, Reason.ALLOWED), (Group.ZONE, SAME_ZONE, Reason.ALLOWED),
     (Group.ZONE, ELSEWHERE, Reason.OUTSIDE_GROUP), (Group.CELL, HERE, Reason.ALLOWED),
-    (Group.CELL, SAME_ZONE, Reason.OUTSIDE_GROUP)])
+    (Group.CELL, SAME_ZONE, Reason.OUTSIDE_GROUP), (Group.ZONE, NO_CELLS, Reason.OUTSIDE_GROUP),
+    (Group.CELL, NO_CELLS, Reason.OUTSIDE_GROUP)])
 def test_a_repeat_stays_in_its_group(
     group: Group, target: Target, reason: Reason, no_violations: list[str]
 ) -> None:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -776,7 +776,7 @@
     assert [done for done in b.asked() if done[0] == "send"][-1] == ("send", writer)
 
 
-@pytest.mark.parametrize("group", [Group.ZONE])
+@pytest.mark.parametrize("group", [Group.ZONE, Group.CELL])
 def test_a_repeat_stays_in_its_zone_where_no_cells_are_told(bench: New, group: Group) -> None:
     """A layout without cells names none: all engines look like one cell, in whatever zone they lie."""
     b = bench(effect=TOKENED, group=group)
