A randomized fault soak of real front nodes, judged by what crossed the sockets

heathford soak faults: 1 to 40 front nodes as processes, engines, discovery and clients beside them, a relay on each link to an engine and to discovery; 28 kinds of trouble drawn from one seed in groups of two or three that touch; signals; shims for clock, accept, connect, send, recv and the log, loaded by Python's start-up hook, so that the program has no test code. Plans are printed, replayed and shrunk. The oracle reads records alone. The front node keeps no files, so disk shims strike its log only.

--- a/heathford/cli/main.py
+++ b/heathford/cli/main.py
@@ -240,6 +240,33 @@
     """Long runs, judged while they go on."""
 
 
+@soak.command("faults")
+@click.option("--seeds", default="1..1", show_default=True, help="From and to, as 1..20.")
+@click.option("--seconds", type=float, default=20.0, show_default=True, help="Of each seed.")
+@click.option("--fronts", type=click.IntRange(1, 40), default=10, show_default=True)
+@click.option("--report", type=click.Path(path_type=Path), required=True,
+              help="A folder for records and logs.")
+@click.option("--replay", type=click.Path(exists=True, path_type=Path), help="A plan.json to play.")
+@click.option("--shrink", "shrinks", is_flag=True, help="Look for fewer troubles that break the same rule.")
+def soak_faults(
+    seeds: str, seconds: float, fronts: int, report: Path, replay: Path | None, shrinks: bool
+) -> None:
+    """Real front nodes under overlapping troubles; exits 1 if a rule broke."""
+    from heathford.soak.plan import read
+    from heathford.soak.report import play, tell_outcome
+    from heathford.soak.report import soak as soak_seeds
+    report.mkdir(parents=True, exist_ok=True)
+    if replay:
+        outcome = play(read(replay.read_text()), fronts, report)
+        tell_outcome(outcome, click.echo)
+        sys.exit(bool(outcome.breaches))
+    first, dots, last = seeds.partition("..")
+    if not (first.isdigit() and (last if dots else first).isdigit()):
+        raise click.BadParameter("allowed is A..B", param_hint="--seeds")
+    numbers = range(int(first), int(last or first) + 1)
+    sys.exit(bool(soak_seeds(numbers, seconds, fronts, report, shrinks, click.echo)))
+
+
 @soak.command("sessions")
 @click.option("--minutes", type=float, default=5.0, show_default=True)
 @click.option("--seed", type=int, default=1, show_default=True)
--- /dev/null
+++ b/heathford/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of real front nodes: overlapping troubles, judged by what crossed the sockets."""
--- /dev/null
+++ b/heathford/soak/client.py
@@ -0,0 +1,191 @@
+"""Clients of front nodes: well-behaved ones, some that leave, and some that misbehave."""
+
+import asyncio
+import re
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from random import Random
+from time import monotonic
+
+import orjson
+
+from heathford.soak.plan import Kind
+from heathford.soak.records import Record, Seen
+
+Note = Callable[[Record], None]
+STAMP = re.compile(rb"t(\d+\.\d+);")
+STALLED = 5.0  # s without a byte after which a client gives a stream up
+LATEST = 2.0  # s past its budget for which a client waits: what comes then is late
+THINKS = (0.05, 0.5)  # s between two requests, between
+BUDGETS = (900, 1_500, 3_000)  # ms
+SIZES = (36, 2_000, 60_000)  # bytes of a prompt
+CLASSES = ("chat", "booking", "order")
+LEAVE_PART = 0.05  # of requests whose client leaves, without any trouble
+
+
+@dataclass
+class FrontAddress:
+    """Where a front node listens, and whether it takes requests as far as its clients know."""
+
+    name: str
+    port: int
+    ready: bool = False
+
+
+def request_bytes(name: str, request_class: str, budget: int, size: int, session: str) -> bytes:
+    body = orjson.dumps({"stream": True, "messages": [{"role": "user", "content": "x" * size}]})
+    key = f"Idempotency-Key: {name}\r\n" if request_class == "order" else ""
+    return (
+        f"POST /v1/chat/completions HTTP/1.1\r\nHost: o\r\nX-Call-Id: {name}\r\n"
+        f"X-Call-Class: {request_class}\r\n"
+        f"X-Route-Hash: {session}\r\nX-Budget-Ms: {budget}\r\n{key}"
+        f"X-Call-Info: prompt_len={1 + size // 4},prefix_len=0,max_out=20\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+class SoakClient:
+    """One client; asks one request after the other until it is cancelled."""
+
+    def __init__(
+        self, number: int, fronts: list[FrontAddress], note: Note, troubles: list[Kind], seed: int
+    ) -> None:
+        self.number, self.fronts, self.note, self.troubles = number, fronts, note, troubles
+        self.random = Random(seed * 10_007 + number)
+        self.count = 0
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: asyncio.StreamWriter | None = None
+        self.front = fronts[0]
+        self.served = 0  # answers on this connection
+
+    async def run(self) -> None:
+        while True:
+            await asyncio.sleep(self.random.uniform(*THINKS))
+            with suppress(OSError):
+                if Kind.CLIENTS_BAD in self.troubles and self.random.random() < 0.3:
+                    await self.misbehave()
+                else:
+                    await self.ask()
+
+    async def connect(self) -> bool:
+        if self.writer and not self.writer.is_closing() and self.front.ready:
+            return True
+        self.drop()
+        ready = [front for front in self.fronts if front.ready]
+        if not ready:
+            return False
+        self.front = self.random.choice(ready)
+        self.reader, self.writer = await asyncio.open_connection("127.0.0.1", self.front.port)
+        self.served = 0
+        return True
+
+    def drop(self) -> None:
+        if self.writer:
+            self.writer.close()
+        self.reader = self.writer = None
+
+    def say(self, kind: Seen, name: str, value: float = 0.0, text: str = "") -> None:
+        self.note(Record(monotonic(), kind, self.front.name, name, "", value, text))
+
+    async def ask(self, again: str = "") -> None:
+        if not await self.connect():
+            return
+        assert self.writer and self.reader
+        self.count += 1
+        name = again or f"c{self.number}-{self.count}"
+        request_class, budget = self.random.choice(CLASSES), self.random.choice(BUDGETS)
+        reused = self.served > 0
+        self.writer.write(
+            request_bytes(name, request_class, budget, self.random.choice(SIZES), f"s{self.number}")
+        )
+        self.say(Seen.ASKED, name, budget, request_class)
+        leaves = 0.5 if Kind.CLIENTS_LEAVE in self.troubles else LEAVE_PART
+        if self.random.random() < leaves:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(self.random.uniform(0.0, 0.3)):
+                    await self.answered(name, reused)
+                    return
+            self.say(Seen.LEFT, name)
+            if self.random.random() < 0.5:
+                self.writer.transport.abort()
+            self.drop()
+            return
+        try:
+            async with asyncio.timeout(budget / 1000 + LATEST + STALLED):
+                await self.answered(name, reused)
+        except TimeoutError:
+            self.say(Seen.LOST, name, text="never answered")
+            self.drop()
+
+    async def answered(self, name: str, reused: bool) -> None:
+        assert self.reader
+        status = 0
+        try:
+            head = await self.reader.readuntil(b"\r\n\r\n")
+            status = int(head.split(b" ", 2)[1])
+            if status != 200:
+                found = re.search(rb"(?i)content-length: (\d+)", head)
+                await self.reader.readexactly(int(found[1]) if found else 0)
+            else:
+                await self.stream(name)
+        except (asyncio.IncompleteReadError, OSError):
+            if status == 200:
+                self.say(Seen.CUT, name)
+            else:
+                self.say(Seen.LOST, name, text="reused" if reused else "new")
+            self.drop()
+            return
+        self.served += 1
+        self.say(Seen.ANSWERED, name, status)
+        if b"connection: close" in head.lower():
+            self.drop()
+
+    async def stream(self, name: str) -> None:
+        assert self.reader
+        whole = b""
+        while True:
+            size = int(await self.reader.readline() or b"0", 16)
+            part = await self.reader.readexactly(size + 2)
+            if not size:
+                break
+            whole += part
+            for stamp in STAMP.findall(part):
+                late = monotonic() - float(stamp)
+                if late > 0.1:
+                    self.say(Seen.LATE_EVENT, name, late)
+        if b"[DONE]" not in whole:
+            self.say(Seen.LOG, name, text="a stream ended with its last chunk and was not whole")
+
+    async def misbehave(self) -> None:
+        """On a connection of its own: owed an answer or a close within 3 s, if it stays."""
+        ready = [front for front in self.fronts if front.ready]
+        if not ready:
+            return
+        front = self.random.choice(ready)
+        reader, writer = await asyncio.open_connection("127.0.0.1", front.port)
+        whole = request_bytes("bad", "chat", 900, 36, "s")
+        writer.write(
+            self.random.choice(
+                [b"", whole[:40], whole[:-5], b"\x00\xff nonsense\r\n\r\n", 3 * whole[:200]]
+            )
+        )
+        if self.random.random() < 0.3:
+            writer.transport.abort()
+            return
+        began = monotonic()
+        with suppress(TimeoutError, OSError):
+            async with asyncio.timeout(4.0):
+                await reader.read(1)
+        waited = monotonic() - began
+        if waited > 3.0 and front.ready:
+            self.note(
+                Record(
+                    monotonic(),
+                    Seen.LOG,
+                    front.name,
+                    value=waited,
+                    text="a bad client waits for over 3 s",
+                )
+            )
+        writer.close()
--- /dev/null
+++ b/heathford/soak/front.py
@@ -0,0 +1,194 @@
+"""One front node as a process: started, signalled, measured, its log read."""
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from collections.abc import Callable
+from contextlib import suppress
+from pathlib import Path
+from time import monotonic
+from typing import Any
+
+import orjson
+
+from heathford.soak.client import FrontAddress
+from heathford.soak.plan import Kind
+from heathford.soak.records import Record, Seen
+
+Note = Callable[[Record], None]
+HOOK = Path(__file__).parent / "hook"
+TO_THE_KILL = 3.7  # s from SIGTERM: the longest deadline, counted as 3 s, and 0.7
+INTERPRETER_STARTS = (
+    5.0  # s: a signal before the program's first line ends the process; the pages exclude it
+)
+WRONG = ("error", "critical")
+EXPECTED = ("configuration not taken",)
+STEPS = (5.0, -5.0, 3_600.0, -3_600.0)  # s by which the wall clock steps
+SHIMMED = frozenset(
+    {
+        Kind.CLOCK,
+        Kind.ACCEPT_FAILS,
+        Kind.CONNECT_FAILS,
+        Kind.SEND_SHORT,
+        Kind.RECV_SHORT,
+        Kind.LINK_BREAKS,
+        Kind.LOG_FAILS,
+    }
+)
+
+
+def free_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as found:
+        return int(found.getsockname()[1])
+
+
+class FrontProcess:
+    """shims: rows of what the hook is told. discoveries: where discovery may be, the present one first."""
+
+    def __init__(
+        self,
+        name: str,
+        folder: Path,
+        settings: dict[str, Any],
+        discoveries: list[str],
+        shims: list[tuple[str, float, float, float]],
+        note: Note,
+    ) -> None:
+        self.name, self.folder, self.settings, self.note = name, folder, settings, note
+        self.discoveries, self.shims = discoveries, shims
+        self.address = FrontAddress(name, free_port())
+        self.path = folder / f"{name}.json"
+        self.process: asyncio.subprocess.Process | None = None
+        self.reading: asyncio.Task[None] | None = None
+        self.ends = False  # it was told to end, or killed
+        self.over = False  # the run is
+        self.busy = asyncio.Lock()
+
+    def configure(self) -> None:
+        self.path.write_bytes(
+            orjson.dumps(
+                {
+                    "discovery": self.discoveries[0],
+                    "limits": {"sockets": 400},
+                    "seed": 1,
+                    "settings": self.settings,
+                }
+            )
+        )
+
+    async def start(self) -> None:
+        self.ends = False
+        self.configure()
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "heathford",
+            "--log",
+            "json",
+            "platform",
+            stderr=asyncio.subprocess.PIPE,
+            env={
+                **os.environ,
+                "NODE_NAME": self.name,
+                "NODE_LISTEN": f"127.0.0.1:{self.address.port}",
+                "NODE_DISCOVERY": self.discoveries[0],
+                "NODE_CONFIG": str(self.path),
+                "PYTHONPATH": f"{HOOK}:{os.environ.get('PYTHONPATH', '')}",
+                "SOAK_SHIMS": orjson.dumps(self.shims).decode(),
+            },
+        )
+        self.reading = asyncio.create_task(self.read_log(self.process))
+
+    async def read_log(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr
+        began = monotonic()
+        with (self.folder / f"{self.name}.log").open("ab") as log:
+            while line := await process.stderr.readline():
+                log.write(line)
+                self.heed(line)
+        status = await process.wait()
+        self.address.ready = False
+        if not self.over:
+            early = status == -signal.SIGTERM and monotonic() - began < INTERPRETER_STARTS
+            expected = self.ends and (status in (0, -signal.SIGKILL) or early)
+            self.say(Seen.EXIT, status, "" if expected else "unexpected")
+
+    def heed(self, line: bytes) -> None:
+        try:
+            said = orjson.loads(line)
+        except orjson.JSONDecodeError:
+            if b"Traceback" in line or b"Error" in line:
+                self.say(Seen.LOG, text=line.decode(errors="replace").strip())
+            return
+        if said.get("event") == "ready":
+            self.address.ready = True
+        if said.get("event") == "state" and said.get("violations"):
+            self.say(Seen.LOG, text=f"violations counted: {said['violations']}")
+        if said.get("level") in WRONG and said.get("event") not in EXPECTED:
+            self.say(Seen.LOG, text=line.decode()[:2_000].strip())
+
+    def say(self, kind: Seen, value: float = 0.0, text: str = "") -> None:
+        self.note(Record(monotonic(), kind, self.name, "", "", value, text))
+
+    def send(self, number: signal.Signals) -> None:
+        if self.process and self.process.returncode is None:
+            with suppress(ProcessLookupError):
+                self.process.send_signal(number)
+
+    async def suffer(self, kind: Kind, seconds: float) -> None:
+        """A trouble of this process itself."""
+        if kind in (Kind.STOP_SHORT, Kind.STOP_LONG):
+            self.send(signal.SIGSTOP)
+            await asyncio.sleep(min(seconds, 0.15) if kind is Kind.STOP_SHORT else seconds)
+            self.send(signal.SIGCONT)
+        elif kind is Kind.RELOAD:
+            self.discoveries.reverse()
+            self.configure()
+            self.send(signal.SIGHUP)
+            await asyncio.sleep(0.01)
+            self.send(signal.SIGHUP)
+        elif kind in (Kind.TERMINATE, Kind.KILL):
+            async with self.busy:
+                await self.restart(kind)
+
+    async def restart(self, kind: Kind) -> None:
+        process = self.process
+        if process is None or process.returncode is not None or self.over:
+            return
+        self.ends = True
+        if kind is Kind.TERMINATE:
+            self.send(signal.SIGTERM)
+            await asyncio.sleep(0.3)
+            self.address.ready = False
+            with suppress(TimeoutError):
+                async with asyncio.timeout(TO_THE_KILL - 0.3):
+                    await process.wait()
+        self.address.ready = False
+        self.send(signal.SIGCONT)
+        if process.returncode is None:
+            process.kill()
+        if self.reading:
+            await self.reading
+        if not self.over:
+            await self.start()
+
+    def measure(self) -> None:
+        if not self.process or self.process.returncode is not None:
+            return
+        with suppress(OSError, StopIteration):
+            place = Path(f"/proc/{self.process.pid}")
+            descriptors = len(list((place / "fd").iterdir()))
+            memory = next(
+                line for line in (place / "status").read_text().splitlines() if line.startswith("VmRSS")
+            )
+            self.say(Seen.MEASURE, descriptors, memory.split()[1])
+
+    async def stop(self) -> None:
+        self.over = self.ends = True
+        self.send(signal.SIGCONT)
+        if self.process and self.process.returncode is None:
+            self.process.kill()
+        if self.reading:
+            await self.reading
--- /dev/null
+++ b/heathford/soak/hook/sitecustomize.py
@@ -0,0 +1,128 @@
+"""Loaded by Python at the start of a front node under the soak: system calls that fail, a clock that steps.
+
+The shims are told by SOAK_SHIMS, a JSON list of rows: what, from, until (s on the machine's monotonic clock),
+figure. The program itself knows nothing of it.
+"""
+
+import errno
+import json
+import os
+import random
+import socket
+import time
+from typing import Any
+
+SHIMS = json.loads(os.environ.get("SOAK_SHIMS", "[]"))
+CHANCE = 0.3  # of the calls in its time that a shim fails
+LOGS = 2  # the descriptor of standard error
+draw = random.Random(os.getpid())
+
+
+def active(what: str) -> float | None:
+    """The figure of a shim that holds now."""
+    now = time.monotonic()
+    return next(
+        (figure for kind, since, until, figure in SHIMS if kind == what and since <= now < until), None
+    )
+
+
+def fails(what: str) -> bool:
+    return active(what) is not None and draw.random() < CHANCE
+
+
+def step_clock() -> None:
+    wall = time.time
+
+    def stepped() -> float:
+        return wall() + (active("CLOCK") or 0.0)
+
+    time.time = stepped
+
+
+def fail_accept() -> None:
+    accept = socket.socket.accept
+
+    def accepted(self: socket.socket) -> Any:
+        if fails("ACCEPT_FAILS"):
+            raise OSError(
+                draw.choice(
+                    (
+                        errno.ENFILE,
+                        errno.EMFILE,
+                        errno.ENOBUFS,
+                        errno.ENOMEM,
+                        errno.ECONNABORTED,
+                        errno.EINTR,
+                    )
+                ),
+                "shim",
+            )
+        return accept(self)
+
+    socket.socket.accept = accepted  # type: ignore[method-assign]
+
+
+def fail_connect() -> None:
+    connect = socket.socket.connect
+
+    def connected(self: socket.socket, address: Any) -> None:
+        if fails("CONNECT_FAILS"):
+            raise OSError(
+                draw.choice(
+                    (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EMFILE, errno.ETIMEDOUT)
+                ),
+                "shim",
+            )
+        connect(self, address)
+
+    socket.socket.connect = connected  # type: ignore[method-assign, assignment]
+
+
+def fail_send() -> None:
+    send = socket.socket.send
+
+    def sent(self: socket.socket, data: Any, *flags: int) -> int:
+        if fails("SEND_SHORT"):
+            if draw.random() < 0.3:
+                raise InterruptedError(errno.EINTR, "shim")
+            data = bytes(data)[: max(1, len(data) // 2)]
+        if active("LINK_BREAKS") is not None and draw.random() < 0.02:
+            raise OSError(draw.choice((errno.ETIMEDOUT, errno.EHOSTUNREACH)), "shim")
+        return send(self, data, *flags)
+
+    socket.socket.send = sent  # type: ignore[method-assign, assignment]
+
+
+def fail_recv() -> None:
+    recv = socket.socket.recv
+
+    def received(self: socket.socket, size: int, *flags: int) -> bytes:
+        if fails("RECV_SHORT"):
+            if draw.random() < 0.3:
+                raise InterruptedError(errno.EINTR, "shim")
+            size = min(size, draw.randint(1, 40))
+        if active("LINK_BREAKS") is not None and draw.random() < 0.02:
+            raise OSError(draw.choice((errno.ETIMEDOUT, errno.EHOSTUNREACH)), "shim")
+        return recv(self, size, *flags)
+
+    socket.socket.recv = received  # type: ignore[method-assign, assignment]
+
+
+def fail_logs() -> None:
+    write = os.write
+
+    def written(descriptor: int, data: Any) -> int:
+        if descriptor == LOGS and fails("LOG_FAILS"):
+            raise OSError(draw.choice((errno.ENOSPC, errno.EIO)), "shim")
+        return write(descriptor, data)
+
+    os.write = written
+
+
+if SHIMS:
+    step_clock()
+    fail_accept()
+    fail_connect()
+    fail_send()
+    fail_recv()
+    fail_logs()
--- /dev/null
+++ b/heathford/soak/oracle.py
@@ -0,0 +1,400 @@
+"""Judges a run by its records: the users' rules and terms. Shares no code with the program."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass, field
+from enum import Enum
+from math import inf, sqrt
+
+from heathford.soak.plan import Kind
+from heathford.soak.records import Record, Seen
+
+ANSWER_SLACK = 0.5  # s past a client's time within which an answer only earns nothing
+HELD_SLACK = 0.3  # s beyond the pin limit
+GONE_SLACK = 0.1  # s after a client's close
+TOLD_SLACK = 0.15  # s by which the deadline told may be more than what is left
+EVENT_SLACK = 0.3  # s in which an event is passed on
+LIST_SLACK = 6.0  # s after which a list change counts, whatever failed
+OWN_SLACK = 0.03  # s: the soak's own turns, where its lag says nothing
+TROUBLE_BEFORE = 4.0  # s before a time in which a trouble may still be felt there
+REFUSED = (429, 503)
+NEVER_RAN = ("full", "gone")
+LINK_TROUBLES = tuple(kind for kind in Kind if kind.name.startswith("LINK_"))
+STOPS = (Kind.STOP_SHORT, Kind.STOP_LONG)
+DESCRIPTORS_GROW = 120
+MEMORY_GROWS = 40_000  # kB
+
+
+@dataclass(frozen=True)
+class Limits:
+    """As the settings say; times in s. effects: by class, as the settings name them."""
+
+    pin: float
+    grace: float
+    window: float
+    effects: Mapping[str, str]
+    cold_budget: float
+    cold_window: float
+    warm_after: float
+    zones: Mapping[str, str] = field(default_factory=dict)  # of engines
+
+
+@dataclass(frozen=True)
+class Breach:
+    rule: str
+    time: float
+    request: str
+    what: str
+
+
+@dataclass
+class Attempt:
+    """One attempt as the sockets saw it. told: s that its engine was told; outcome: what that said."""
+
+    engine: str
+    first: float
+    last: float = inf
+    told: float = 0.0
+    delivered: float = inf
+    prefill: bool = False
+    outcome: str = ""
+    said: float = inf
+    closed: float = inf
+
+    @property
+    def ran(self) -> bool:
+        return self.delivered < inf and not self.prefill and self.outcome not in NEVER_RAN
+
+    @property
+    def end(self) -> float:
+        return min(self.said, self.closed)
+
+
+@dataclass
+class Story:
+    """All that was seen of one request."""
+
+    asked: float = inf
+    budget: float = 0.0
+    request_class: str = ""
+    front: str = ""
+    left: float = inf
+    answers: list[Record] = field(default_factory=list)
+    lost: list[Record] = field(default_factory=list)
+    cut: list[Record] = field(default_factory=list)
+    attempts: list[Attempt] = field(default_factory=list)
+    releases: list[float] = field(default_factory=list)
+
+    def attempt(self, engine: str) -> Attempt | None:
+        return next((a for a in reversed(self.attempts) if a.engine == engine), None)
+
+
+class Holding(Enum):
+    """What becomes of a state that prefill left."""
+
+    FREE = "used or released"
+    HELD = "held, no attempt that has arrived is out"
+    OUT = "an attempt is out that takes it up"
+    BACK = "that attempt has ended without"
+
+
+@dataclass(frozen=True)
+class Step:
+    """since: s from which the limit counts, if it is held from then on."""
+
+    time: float
+    holding: Holding
+    since: float
+
+
+class Oracle:
+    """One run. Breaches are in the order of the checks."""
+
+    def __init__(self, records: Iterable[Record], limits: Limits) -> None:
+        self.records = sorted(records, key=lambda record: record.time)
+        self.limits = limits
+        self.breaches: list[Breach] = []
+        self.overtaken = 0  # releases that came before the read they are for, over a link in trouble
+        self.crossed = 0  # requests whose kept connection ended under them: sent once more by clients
+        self.stories: dict[str, Story] = defaultdict(Story)
+        self.troubles = [record for record in self.records if record.kind is Seen.TROUBLE]
+        self.exits = [record for record in self.records if record.kind is Seen.EXIT]
+        self.lags = [record for record in self.records if record.kind is Seen.LAG]
+        self.end = self.records[-1].time if self.records else 0.0
+        for record in self.records:
+            if record.request:
+                self.tell(self.stories[record.request], record)
+
+    def tell(self, story: Story, record: Record) -> None:
+        kind = record.kind
+        if kind is Seen.ASKED:
+            story.asked, story.budget = record.time, record.value / 1000
+            story.request_class, story.front = record.text, record.front
+        elif kind is Seen.LEFT:
+            story.left = record.time
+        elif kind is Seen.ANSWERED:
+            story.answers.append(record)
+        elif kind is Seen.LOST:
+            story.lost.append(record)
+        elif kind is Seen.CUT:
+            story.cut.append(record)
+        elif kind is Seen.FIRST_BYTE:
+            story.attempts.append(Attempt(record.engine, record.time))
+        elif kind is Seen.RELEASED:
+            story.releases.append(record.time)
+        elif attempt := story.attempt(record.engine):
+            self.tell_attempt(attempt, record)
+
+    def tell_attempt(self, attempt: Attempt, record: Record) -> None:
+        if record.kind is Seen.LAST_BYTE:
+            attempt.last, attempt.told = record.time, record.value / 1000
+        elif record.kind is Seen.DELIVERED:
+            attempt.delivered, attempt.prefill = record.time, record.text == "prefill"
+        elif record.kind is Seen.ENGINE_SAID:
+            attempt.outcome, attempt.said = record.text, record.time
+        elif record.kind is Seen.GIVEN_UP:
+            attempt.closed = min(attempt.closed, record.time)
+
+    # What excuses.
+
+    def within(
+        self, since: float, until: float, *names: str, kinds: Sequence[Kind] = tuple(Kind)
+    ) -> bool:
+        """A trouble of such a kind at one of these was felt in that time; without names, at anything."""
+        known = {kind.name for kind in kinds}
+        return any(
+            trouble.text in known
+            and trouble.time <= until
+            and trouble.time + trouble.value + TROUBLE_BEFORE >= since
+            and (not names or trouble.front in names or trouble.engine in names)
+            for trouble in self.troubles
+        )
+
+    def allowance(self, front: str, since: float, until: float) -> float:
+        """s for which the front node was stopped, or the soak itself behind."""
+        stopped = sum(
+            max(0.0, min(until, t.time + t.value) - max(since, t.time))
+            for t in self.troubles
+            if t.front == front and t.text in {kind.name for kind in STOPS}
+        )
+        behind = max((lag.value for lag in self.lags if since <= lag.time <= until + 1.0), default=0.0)
+        return stopped + behind + OWN_SLACK
+
+    def killed(self, front: str, since: float, until: float) -> bool:
+        return any(
+            t.front == front and t.text == Kind.KILL.name and since - 0.1 <= t.time <= until
+            for t in self.troubles
+        )
+
+    def breach(self, rule: str, time: float, request: str, what: str) -> None:
+        self.breaches.append(Breach(rule, time, request, what))
+
+    # The checks.
+
+    def judge(self) -> list[Breach]:
+        for name, story in self.stories.items():
+            if story.asked < inf:
+                self.one_answer(name, story)
+                self.no_effect_twice(name, story)
+                self.client_gone(name, story)
+                self.deadline_told(name, story)
+                self.held(name, story)
+        self.drains()
+        self.cold_engines()
+        self.events()
+        self.processes()
+        return self.breaches
+
+    def one_answer(self, name: str, story: Story) -> None:
+        if len(story.answers) > 1:
+            self.breach("1 one answer", story.answers[1].time, name, "a second final answer")
+        due = story.asked + story.budget + ANSWER_SLACK
+        excused = self.killed(story.front, story.asked, due + 1.0) or self.within(
+            story.asked, due, story.front, kinds=(Kind.LINK_BREAKS,)
+        )
+        for lost in story.lost:
+            if excused or story.left < inf:
+                continue
+            if lost.text == "reused":
+                self.crossed += 1
+            else:
+                self.breach("1 one answer", lost.time, name, f"lost: {lost.text}")
+        for answer in story.answers:
+            late = answer.time - due
+            if answer.value != 200 and late > self.allowance(story.front, story.asked, answer.time):
+                self.breach("1 in time", answer.time, name, f"{answer.value:.0f}, {late:.2f} s late")
+        for cut in story.cut:
+            engines = [attempt.engine for attempt in story.attempts]
+            if (
+                not excused
+                and story.left == inf
+                and not self.within(story.asked, cut.time, story.front, *engines)
+            ):
+                self.breach("1 one answer", cut.time, name, "a stream was cut without any trouble")
+
+    def no_effect_twice(self, name: str, story: Story) -> None:
+        for earlier, later in zip(story.attempts, story.attempts[1:], strict=False):
+            overlap = min(earlier.end, later.last) if later.last < inf else inf
+            # What a link in trouble still holds arrives behind the front node's close, as in no network.
+            in_flight = self.within(earlier.first, later.last, earlier.engine, kinds=LINK_TROUBLES)
+            if earlier.last < later.last < inf and overlap == later.last and not in_flight:
+                self.breach(
+                    "2 no two out", later.last, name, f"{earlier.engine} is out, {later.engine} gets it"
+                )
+        ran = [attempt for attempt in story.attempts if attempt.ran]
+        effect = self.limits.effects.get(story.request_class, "free")
+        if effect == "free" or not ran:
+            return
+        for answer in story.answers:
+            if answer.value in REFUSED:
+                self.breach(
+                    "2 harmless refusals",
+                    answer.time,
+                    name,
+                    f"{effect}: refused, has run at {ran[0].engine}",
+                )
+        if effect == "single_shot" and len(ran) > 1:
+            self.breach(
+                "2 no effect twice", ran[1].delivered, name, f"ran at {ran[0].engine}, {ran[1].engine}"
+            )
+        for attempt in ran[1:]:
+            if effect == "guarded" and attempt.delivered > ran[0].delivered + self.limits.window:
+                self.breach("2 repeats in window", attempt.delivered, name, "past the window")
+            zones = {self.limits.zones.get(a.engine) for a in (ran[0], attempt)}
+            if effect == "guarded" and len(zones) > 1:
+                self.breach("2 repeats in group", attempt.delivered, name, "in another zone")
+
+    def client_gone(self, name: str, story: Story) -> None:
+        for attempt in story.attempts:
+            late = attempt.first - story.left - GONE_SLACK
+            if late > self.allowance(story.front, story.left, attempt.first):
+                self.breach(
+                    "client gone",
+                    attempt.first,
+                    name,
+                    f"an attempt {late + GONE_SLACK:.3f} s after its close",
+                )
+
+    def deadline_told(self, name: str, story: Story) -> None:
+        for attempt in story.attempts:
+            if attempt.last < inf:
+                more = attempt.told - (story.asked + story.budget - attempt.last)
+                if more > TOLD_SLACK + self.allowance(story.front, story.asked, attempt.last):
+                    self.breach("deadline told", attempt.last, name, f"{more:.3f} s more than is left")
+
+    def held(self, name: str, story: Story) -> None:
+        """Each time in which a state is held and no attempt that has arrived is out."""
+        steps = [Step(at, Holding.FREE, at) for at in story.releases]
+        for attempt in story.attempts:
+            steps += self.steps_of(story, attempt)
+        since, holding = inf, Holding.FREE
+        steps.sort(key=lambda step: step.time)
+        for step in [*steps, Step(self.end, Holding.FREE, self.end)]:
+            if holding is Holding.HELD:
+                self.check_held(name, story, since, step.time)
+            if step.holding is Holding.BACK and holding is not Holding.OUT:
+                continue
+            if step.holding is Holding.OUT and holding is Holding.FREE:
+                continue
+            since = step.since
+            holding = Holding.HELD if step.holding is Holding.BACK else step.holding
+
+    def steps_of(self, story: Story, attempt: Attempt) -> "list[Step]":
+        if attempt.outcome == "read":
+            in_flight = self.within(attempt.first, attempt.said, attempt.engine, kinds=LINK_TROUBLES)
+            if in_flight and any(attempt.last < at < attempt.said for at in story.releases):
+                self.overtaken += 1
+                return []
+            unheard = attempt.closed if attempt.closed < inf else 0.0  # its answer never came whole
+            return [Step(attempt.said, Holding.HELD, max(attempt.said, unheard))]
+        if attempt.delivered == inf or attempt.prefill:
+            return []
+        if attempt.outcome == "stream":
+            return [Step(attempt.delivered, Holding.FREE, attempt.delivered)]
+        out = Step(attempt.delivered, Holding.OUT, attempt.delivered)
+        return [out, Step(attempt.end, Holding.BACK, attempt.end)] if attempt.end < inf else [out]
+
+    def check_held(self, name: str, story: Story, since: float, until: float) -> None:
+        limit = self.limits.pin + HELD_SLACK + self.allowance(story.front, since, until)
+        excused = self.killed(story.front, story.asked, since + limit) or any(
+            ended.front == story.front and story.asked <= ended.time <= since + limit for ended in self.exits
+        )
+        if until - since > limit and since + limit < self.end and not excused:
+            self.breach("5 held", since + limit, name, f"held for {until - since:.3f} s")
+
+    def drains(self) -> None:
+        """From when a front node's discovery has told of it; later where that or the front was in trouble."""
+        for told in self.records:
+            if told.kind is not Seen.DRAINED:
+                continue
+            troubled = self.within(told.time - 2.0, told.time + 1.0, told.front)
+            most = max(
+                (
+                    t.time + t.value
+                    for t in self.troubles
+                    if t.front == told.front and t.time <= told.time + LIST_SLACK
+                ),
+                default=told.time,
+            )
+            limit = max(told.time, most) + LIST_SLACK if troubled else told.time + self.limits.grace
+            for name, story in self.stories.items():
+                for attempt in story.attempts:
+                    late = attempt.first - limit
+                    if (
+                        story.front == told.front
+                        and attempt.engine == told.engine
+                        and late > self.allowance(told.front, limit - 0.5, attempt.first)
+                    ):
+                        self.breach(
+                            "3 drain",
+                            attempt.first,
+                            name,
+                            f"to {told.engine}, {late:.3f} s past the grace",
+                        )
+
+    def cold_engines(self) -> None:
+        budget = self.limits.cold_budget
+        most = budget + (3 * sqrt(budget) + 3 if budget < 30 else 2 * sqrt(budget) + 2)
+        for cold in self.records:
+            if cold.kind is not Seen.COLD:
+                continue
+            times = sorted(
+                a.first
+                for story in self.stories.values()
+                for a in story.attempts
+                if a.engine == cold.engine and cold.time <= a.first < cold.time + self.limits.warm_after
+            )
+            for place, at in enumerate(times):
+                count = sum(at <= other < at + self.limits.cold_window for other in times[place:])
+                if count > most:
+                    self.breach("4 cold", at, "", f"{cold.engine} got {count}, {most:.1f} are allowed")
+                    break
+
+    def events(self) -> None:
+        for record in self.records:
+            if record.kind is Seen.LATE_EVENT and record.value > EVENT_SLACK:
+                story = self.stories[record.request]
+                engines = [attempt.engine for attempt in story.attempts]
+                since = record.time - record.value
+                over = record.value - EVENT_SLACK - self.allowance(story.front, since, record.time)
+                if over > 0 and not self.within(since, record.time, story.front, *engines):
+                    self.breach("event held back", record.time, record.request, f"{record.value:.3f} s")
+
+    def processes(self) -> None:
+        first: dict[str, Record] = {}
+        for record in self.records:
+            if record.kind is Seen.EXIT and record.text:
+                self.breach("crash", record.time, record.front, f"status {record.value:.0f}")
+            elif record.kind is Seen.LOG:
+                self.breach("log", record.time, record.request or record.front, record.text[:600])
+            elif record.kind is Seen.MEASURE:
+                begin = first.setdefault(record.front, record)
+                if record.value > begin.value + DESCRIPTORS_GROW:
+                    self.breach(
+                        "descriptors",
+                        record.time,
+                        record.front,
+                        f"{begin.value:.0f} to {record.value:.0f}",
+                    )
+                if int(record.text) > int(begin.text) + MEMORY_GROWS:
+                    self.breach("memory", record.time, record.front, f"{begin.text} to {record.text} kB")
--- /dev/null
+++ b/heathford/soak/plan.py
@@ -0,0 +1,124 @@
+"""Which troubles come when: drawn from one seed, printable, replayable, and shrinkable."""
+
+import json
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass
+from enum import Enum
+from itertools import combinations
+from random import Random
+
+TOUCH = 0.1  # s from a step of one trouble to the beginning of the next
+QUIET = 1.0  # s at the beginning and the end of a run without trouble
+
+
+class Kind(Enum):
+    """Troubles. What they strike: a front node, an engine, its link, or a front node's discovery."""
+
+    TERMINATE = "front: SIGTERM, SIGKILL later, start anew"
+    KILL = "front: SIGKILL, start anew"
+    RELOAD = "front: discovery moves, SIGHUP twice"
+    STOP_SHORT = "front: SIGSTOP for 0.15 s"
+    STOP_LONG = "front: SIGSTOP for longer"
+    CLOCK = "front: its wall clock steps"
+    ACCEPT_FAILS = "front: accept fails"
+    CONNECT_FAILS = "front: connect and socket fail"
+    SEND_SHORT = "front: short sends and EINTR"
+    RECV_SHORT = "front: short reads and EINTR"
+    LINK_BREAKS = "front: ETIMEDOUT or EHOSTUNREACH on a connection"
+    LOG_FAILS = "front: writes of its log fail"
+    ENGINE_DRAINS = "engine: drains, is replaced by a cold one"
+    ENGINE_ERRORS = "engine: answers with errors"
+    ENGINE_FULL = "engine: turns work away"
+    ENGINE_HANGS = "engine: reads, and answers nothing"
+    LINK_SILENT = "link of an engine: silent, with no error"
+    LINK_DELAY = "link of an engine: late"
+    LINK_DRIP = "link of an engine: byte by byte"
+    LINK_CUT = "link of an engine: cut after some bytes"
+    LINK_RESET = "link of an engine: reset"
+    LINK_REFUSED = "link of an engine: refused"
+    LINK_UNREAD = "link of an engine: accepts and never reads"
+    DISCOVERY_SILENT = "discovery: silent"
+    DISCOVERY_SLOW = "discovery: late"
+    DISCOVERY_RESET = "discovery: reset"
+    CLIENTS_LEAVE = "clients: close in mid-request or while they wait"
+    CLIENTS_BAD = "clients: half requests, nonsense, silence"
+
+
+@dataclass(frozen=True)
+class Trouble:
+    """at and seconds from the start of the run; target: a number, taken modulo what there is."""
+
+    kind: Kind
+    target: int
+    at: float
+    seconds: float
+
+
+@dataclass(frozen=True)
+class Plan:
+    seed: int
+    seconds: float
+    troubles: tuple[Trouble, ...]
+
+    def printed(self) -> str:
+        """As JSON, read back by `read`."""
+        rows = [{**asdict(trouble), "kind": trouble.kind.name} for trouble in self.troubles]
+        return json.dumps({"seed": self.seed, "seconds": self.seconds, "troubles": rows}, indent=1)
+
+    @property
+    def pairs(self) -> set[frozenset[Kind]]:
+        """Kinds that overlap, or touch, in this plan."""
+        found = set()
+        for one, other in combinations(self.troubles, 2):
+            first, second = sorted((one, other), key=lambda trouble: trouble.at)
+            if second.at <= first.at + first.seconds + TOUCH:
+                found.add(frozenset({first.kind, second.kind}))
+        return found
+
+
+def read(text: str) -> Plan:
+    """A plan as `Plan.printed` wrote it. Raises ValueError or KeyError."""
+    said = json.loads(text)
+    return Plan(
+        said["seed"],
+        said["seconds"],
+        tuple(
+            Trouble(Kind[row["kind"]], row["target"], row["at"], row["seconds"])
+            for row in said["troubles"]
+        ),
+    )
+
+
+def draw(seed: int, seconds: float) -> Plan:
+    """Groups of two or three troubles that touch: each begins within TOUCH of a step of an earlier one."""
+    random = Random(seed)
+    troubles: list[Trouble] = []
+    at = QUIET
+    while at < seconds - QUIET:
+        steps = [at]
+        for _ in range(random.choice((2, 3, 3))):
+            begin = max(QUIET, random.choice(steps) + random.uniform(-TOUCH, TOUCH))
+            trouble = Trouble(
+                random.choice(list(Kind)),
+                random.randrange(1_000),
+                round(begin, 3),
+                round(random.choice((0.15, 0.4, 1.0, 2.5)) * random.uniform(0.8, 1.2), 3),
+            )
+            troubles.append(trouble)
+            steps += [trouble.at, trouble.at + trouble.seconds]
+        at += random.uniform(0.7, 1.6)
+    return Plan(seed, seconds, tuple(sorted(troubles, key=lambda trouble: trouble.at)))
+
+
+def shrink(plan: Plan, fails: Callable[[Plan], bool], tries: int) -> Plan:
+    """Drop troubles one after the other for as long as it still fails, with so many runs at most."""
+    troubles: Sequence[Trouble] = plan.troubles
+    place = 0
+    while place < len(troubles) and tries > 0:
+        fewer = Plan(plan.seed, plan.seconds, (*troubles[:place], *troubles[place + 1 :]))
+        tries -= 1
+        if fails(fewer):
+            troubles = fewer.troubles
+        else:
+            place += 1
+    return Plan(plan.seed, plan.seconds, tuple(troubles))
--- /dev/null
+++ b/heathford/soak/relay.py
@@ -0,0 +1,140 @@
+"""A relay on the link to an engine or to a front node's discovery: brings the troubles of a network."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from contextlib import suppress
+
+from heathford.soak.plan import Kind
+
+PIECE = 65_536
+SMALL_BUFFER = 4_096  # bytes: of a connection that is accepted and never read
+DRIP_EVERY = 0.002  # s from byte to byte
+DRIP_BYTES = 200  # that come byte by byte before the rest
+LATE = 0.2  # s by which a late link is late
+CUT_AFTER = 90  # bytes of a piece that still pass
+
+
+class Watcher:
+    """Told of what passes on one connection, before any trouble."""
+
+    def sent(self, data: bytes) -> None:
+        """By the front node."""
+
+    def received(self, data: bytes) -> None:
+        """By the front node, from the other side, after any trouble."""
+
+    def closed(self) -> None:
+        """The connection has ended, as far as the front node knows; may be told twice."""
+
+
+class Relay:
+    """Listens on a port of its own and passes on to `to`, under the troubles that hold now."""
+
+    def __init__(self, to: Callable[[], tuple[str, int]], watcher: Callable[[], Watcher]) -> None:
+        self.to, self.watcher = to, watcher
+        self.server: asyncio.Server | None = None
+        self.port = 0
+        self.troubles: list[Kind] = []
+        self.changed = asyncio.Event()
+        self.open: dict[asyncio.StreamWriter, None] = {}
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def listen(self) -> None:
+        self.server = await asyncio.start_server(self.relay, "127.0.0.1", self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def begin(self, kind: Kind) -> None:
+        self.troubles.append(kind)
+        if kind in (Kind.LINK_RESET, Kind.DISCOVERY_RESET):
+            self.reset_all()
+        elif kind is Kind.LINK_REFUSED and self.server:
+            self.server.close()
+            self.server = None
+            self.reset_all()
+
+    async def end(self, kind: Kind) -> None:
+        self.troubles.remove(kind)
+        if kind is Kind.LINK_REFUSED and self.server is None and kind not in self.troubles:
+            await self.listen()
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
+    def reset_all(self) -> None:
+        for writer in list(self.open):
+            writer.transport.abort()
+
+    async def relay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task
+        self.tasks.add(task)
+        self.open[writer] = None
+        watcher = self.watcher()
+        far_writer: asyncio.StreamWriter | None = None
+        try:
+            if Kind.LINK_UNREAD in self.troubles:
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER
+                )
+                writer.transport.pause_reading()  # type: ignore[attr-defined]
+            while Kind.LINK_UNREAD in self.troubles:
+                await self.changed.wait()
+            far_reader, far_writer = await asyncio.open_connection(*self.to())
+            self.open[far_writer] = None
+            with suppress(RuntimeError):
+                writer.transport.resume_reading()  # type: ignore[attr-defined]
+            await asyncio.gather(
+                self.pump(reader, far_writer, watcher.sent, watcher.closed),
+                self.pump(far_reader, writer, lambda data: None, lambda: None, watcher.received),
+            )
+        except OSError:
+            pass
+        finally:
+            watcher.closed()
+            self.tasks.discard(task)
+            for end in (writer, far_writer):
+                if end:
+                    self.open.pop(end, None)
+                    end.close()
+
+    async def pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        came: Callable[[bytes], None],
+        ended: Callable[[], None],
+        left: Callable[[bytes], None] = lambda data: None,
+    ) -> None:
+        while True:
+            data = await reader.read(PIECE)
+            if data:
+                came(data)
+            while Kind.LINK_SILENT in self.troubles or Kind.DISCOVERY_SILENT in self.troubles:
+                await self.changed.wait()
+            if Kind.LINK_DELAY in self.troubles or Kind.DISCOVERY_SLOW in self.troubles:
+                await asyncio.sleep(LATE)
+            if not data:
+                ended()
+                if writer.can_write_eof():
+                    writer.write_eof()
+                return
+            if Kind.LINK_CUT in self.troubles and len(data) > CUT_AFTER:
+                writer.write(data[:CUT_AFTER])
+                await writer.drain()
+                self.reset_all()
+                return
+            if Kind.LINK_DRIP in self.troubles:
+                for place in range(min(DRIP_BYTES, len(data))):
+                    writer.write(data[place : place + 1])
+                    await asyncio.sleep(DRIP_EVERY)
+                data = data[DRIP_BYTES:]
+            left(data)
+            writer.write(data)
+            await writer.drain()
+
+    def close(self) -> None:
+        if self.server:
+            self.server.close()
+        self.reset_all()
+        for task in list(self.tasks):
+            task.cancel()
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,125 @@
+"""The soak: its plans, its oracle against one seeded breach of each rule, and a few seconds of one seed."""
+
+from collections.abc import Sequence
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from heathford.soak.oracle import Limits, Oracle
+from heathford.soak.plan import TOUCH, Kind, Plan, Trouble, draw, read, shrink
+from heathford.soak.records import Record, Seen
+from heathford.soak.report import play
+
+LIMITS = Limits(
+    pin=0.3, grace=0.5, window=1.5, effects={"chat": "free", "booking": "single_shot", "order": "guarded"},
+    cold_budget=6.0, cold_window=1.0, warm_after=5.0, zones={"r": "a", "w": "a", "w2": "b"})
+
+
+def attempt(at: float, engine: str, said: str, told: float = 2_000.0, name: str = "c") -> list[Record]:
+    """An attempt that is answered 0.05 s later."""
+    role = "prefill" if engine == "r" else "decode"
+    return [Record(at, Seen.FIRST_BYTE, "", name, engine),
+            Record(at, Seen.LAST_BYTE, "", name, engine, told),
+            Record(at, Seen.DELIVERED, "", name, engine, 0.0, role),
+            Record(at + 0.05, Seen.ENGINE_SAID, "", name, engine, 0.0, said)]
+
+
+def asked(at: float = 10.0, request_class: str = "booking", budget: float = 3_000.0, name: str = "c") -> Record:
+    return Record(at, Seen.ASKED, "n", name, "", budget, request_class)
+
+
+def answered(at: float, status: int, name: str = "c") -> Record:
+    return Record(at, Seen.ANSWERED, "n", name, "", status)
+
+
+CLEAN = [asked(), *attempt(10.0, "r", "read"), *attempt(10.1, "w", "stream"), answered(10.4, 200),
+         Record(20.0, Seen.MEASURE, "n", value=40, text="30000")]
+RELEASED = Record(10.2, Seen.RELEASED, "", "c", "r")
+WELL_READ = [asked(), *attempt(10.0, "r", "read")]
+
+BREACHES: dict[str, list[Record]] = {
+    "1 one answer": [*CLEAN, answered(10.5, 502)],
+    "1 one answer, lost": [asked(), Record(11.0, Seen.LOST, "n", "c", "", 0.0, "new"), *CLEAN[-1:]],
+    "1 one answer, cut": [*CLEAN[:-2], Record(10.3, Seen.CUT, "n", "c"), *CLEAN[-1:]],
+    "1 in time": [asked(), answered(13.6, 502)],
+    "2 no two out": [
+        asked(), *attempt(10.0, "r", "read")[:3], *attempt(10.1, "w", "stream"), answered(10.4, 200)],
+    "2 no effect twice": [*WELL_READ, *attempt(10.1, "w", "error"), *attempt(10.2, "w2", "stream")],
+    "2 harmless refusals": [*WELL_READ, *attempt(10.1, "w", "error"), answered(10.3, 503)],
+    "2 repeats in window": [asked(request_class="order"), *attempt(10.0, "r", "read"),
+                            *attempt(10.1, "w", "error"), RELEASED, *attempt(11.7, "w", "stream", told=900.0)],
+    "2 repeats in group": [asked(request_class="order"), *attempt(10.0, "r", "read"),
+                           *attempt(10.1, "w", "error"), *attempt(10.3, "w2", "stream")],
+    "3 drain": [Record(9.0, Seen.DRAINED, "n", "", "w"), *CLEAN],
+    "4 cold": [Record(9.5, Seen.COLD, engine="w"), *(
+        record for number in range(17)
+        for record in [asked(request_class="chat", name=f"c{number}"),
+                       *attempt(10.0 + number / 50, "w", "stream", name=f"c{number}")])],
+    "5 held": [*WELL_READ, Record(20.0, Seen.MEASURE, "n", value=40, text="30000")],
+    "5 held, released late": [*WELL_READ, Record(10.8, Seen.RELEASED, "", "c", "w"), *CLEAN[-1:]],
+    "client gone": [asked(), Record(10.01, Seen.LEFT, "n", "c"), *attempt(10.2, "r", "read"),
+                    Record(10.3, Seen.RELEASED, "", "c", "r")],
+    "deadline told": [asked(budget=1_000.0), *attempt(10.0, "r", "read", told=1_250.0),
+                      *attempt(10.1, "w", "stream", told=800.0), answered(10.4, 200)],
+    "event held back": [*CLEAN, Record(10.4, Seen.LATE_EVENT, "n", "c", "", 0.4)],
+    "crash": [*CLEAN, Record(12.0, Seen.EXIT, "n", value=1, text="unexpected")],
+    "log": [*CLEAN, Record(12.0, Seen.LOG, "n", text="Traceback")],
+    "descriptors": [*CLEAN, Record(30.0, Seen.MEASURE, "n", value=170, text="30000")],
+    "memory": [*CLEAN, Record(30.0, Seen.MEASURE, "n", value=40, text="80000")],
+}
+
+
+def judged(records: Sequence[Record]) -> set[str]:
+    return {breach.rule for breach in Oracle(records, LIMITS).judge()}
+
+
+def test_a_clean_run_has_no_breach() -> None:
+    assert judged(CLEAN) == set()
+
+
+@pytest.mark.parametrize("name", list(BREACHES))
+def test_each_rule_is_seen_to_break(name: str) -> None:
+    assert judged(BREACHES[name]) == {name.partition(",")[0]}
+
+
+@pytest.mark.parametrize("records", [
+    [*WELL_READ, Record(10.6, Seen.RELEASED, "", "c", "w"), *CLEAN[-1:]],
+    [*WELL_READ, *attempt(10.1, "w", "full"), *attempt(10.2, "w2", "stream"), answered(10.6, 200)],
+    [asked(request_class="order"), *attempt(10.0, "r", "read"), *attempt(10.1, "w", "error"),
+     RELEASED, *attempt(11.4, "w", "stream", told=900.0)],
+    [Record(10.0, Seen.DRAINED, "n", "", "w"), *CLEAN],
+    [asked(), Record(10.0, Seen.TROUBLE, "n", value=2.0, text="STOP_LONG"), answered(14.0, 502)],
+    [asked(), Record(10.1, Seen.TROUBLE, "n", value=0.1, text="KILL"),
+     Record(10.2, Seen.LOST, "n", "c", "", 0.0, "new")],
+])
+def test_what_the_rules_allow_is_no_breach(records: list[Record]) -> None:
+    assert judged(records) == set()
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_plan_is_drawn_from_its_seed_alone_and_read_back(seed: int) -> None:
+    plan = draw(seed, 20.0)
+    assert plan == draw(seed, 20.0) and read(plan.printed()) == plan
+    assert plan.pairs and all(0.0 < trouble.at < 25.0 for trouble in plan.troubles)
+
+
+def test_troubles_that_touch_are_pairs() -> None:
+    troubles = (Trouble(Kind.KILL, 0, 1.0, 0.5), Trouble(Kind.RELOAD, 0, 1.5 + TOUCH / 2, 0.1),
+                Trouble(Kind.CLOCK, 0, 3.0, 0.1))
+    assert Plan(1, 5.0, troubles).pairs == {frozenset({Kind.KILL, Kind.RELOAD})}
+
+
+def test_a_plan_shrinks_to_what_still_fails() -> None:
+    plan = draw(3, 20.0)
+    needed = set(plan.troubles[2:4])
+    small = shrink(plan, lambda fewer: needed <= set(fewer.troubles), 200)
+    assert set(small.troubles) == needed
+
+
+def test_a_few_seconds_of_one_seed(tmp_path: Path) -> None:
+    """Real processes. Which seed: one whose troubles are of this machine's own and of the links."""
+    plan = replace(draw(5, 6.0), seconds=6.0)
+    outcome = play(plan, 3, tmp_path)
+    assert outcome.asked > 50 and outcome.answers[200] > 25
+    assert outcome.breaches == []
