--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,8 @@
 
 LIMITS = Limits(
     pin=0.3, grace=0.5, window=1.5, effects={"chat": "free", "booking": "single_shot", "order": "guarded"},
-    cold_budget=6.0, cold_window=1.0, warm_after=5.0, zones={"r": "a", "w": "a", "w2": "b"})
+    cold_budget=6.0, cold_window=1.0, warm_after=5.0,
+    zones={"r": "a", "w": "a", "w2": "b"})
 
 
 def attempt(at: float, engine: str, said: str, told: float = 2_000.0, name: str = "c") -> list[Record]:
@@ -48,7 +49,8 @@
     "2 no effect twice": [*WELL_READ, *attempt(10.1, "w", "error"), *attempt(10.2, "w2", "stream")],
     "2 harmless refusals": [*WELL_READ, *attempt(10.1, "w", "error"), answered(10.3, 503)],
     "2 repeats in window": [asked(request_class="order"), *attempt(10.0, "r", "read"),
-                            *attempt(10.1, "w", "error"), RELEASED, *attempt(11.7, "w", "stream", told=900.0)],
+                            *attempt(10.1, "w", "error"), RELEASED,
+                            *attempt(11.7, "w", "stream", told=900.0)],
     "2 repeats in group": [asked(request_class="order"), *attempt(10.0, "r", "read"),
                            *attempt(10.1, "w", "error"), *attempt(10.3, "w2", "stream")],
     "3 drain": [Record(9.0, Seen.DRAINED, "n", "", "w"), *CLEAN],
