--- a/tests/test_state_held.py
+++ b/tests/test_state_held.py
@@ -1,5 +1,6 @@
 """What prefill left is used or released within its limit, whatever becomes of the decode attempt."""
 
+import asyncio
 import socket
 import time
 from collections.abc import Callable
@@ -82,3 +83,33 @@
         i.link.out[-1].events.ended(Verdict.BROKEN, 0, {}, {})
         i.loop.turn()
     assert i.link.released == [i.link.out[0].name]
+
+
+def test_a_release_that_overtakes_the_read_it_is_for_is_said_once_more(tmp_path: Path) -> None:
+    """The client leaves, the attempt is closed, and the release is read before the prefill ends well."""
+    async def day(play: Day) -> None:
+        reader = play.engines[0]
+        client = play.client()
+        client.say(request("c0"))
+        await reader.asked()
+        client.leave("closed")
+        (await reader.asked(1, b"DELETE")).sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+        released_at = time.monotonic()
+        await until(lambda: reader.deletes == 2, "a second release")
+        assert time.monotonic() - released_at < LIMIT
+    run_day(tmp_path, day)
+
+
+def test_a_release_is_not_said_again_once_another_attempt_is_out(tmp_path: Path) -> None:
+    """It names the request, and would take what that attempt leaves."""
+    async def day(play: Day) -> None:
+        reader, writer = play.engines
+        client = play.client()
+        client.say(request("c0"))
+        (await reader.asked()).sock.close()
+        (await reader.asked(1, b"DELETE")).sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+        (await reader.asked(2)).sock.sendall(READ)
+        await writer.asked()
+        await asyncio.sleep(LIMIT)
+        assert reader.deletes + writer.deletes == 1
+    run_day(tmp_path, day)
