A release that its prefill may have outlived is said once more

Cause: a prefill given up is closed and released at once, on two connections; the engine may read the release first, and end the prefill well before it sees the close. Ruled out: the release itself (204, 3 ms after the client's close). Change: link.py, release_again, 0.1 s later, unless another attempt for the request has begun; a process that ends waits for it.

--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -28,6 +28,8 @@
 SETTLED = 0.01  # s after an answer before a connection is used again: some engines close it then, and a
 # request that crosses the close may have run; ten times the way between zones
 SILENCE = 4.0  # s without an event after which a stream is held for dead: clients may be kept waiting for 5
+OVERTAKEN = 0.1  # s after a release that may have overtaken the read it is for until it is said once more
+UNCLEAR = frozenset({Verdict.CANCELLED, Verdict.TIMED_OUT, Verdict.BROKEN})  # ends of a read that may go on
 ROOMS = "/bootstrap/rooms/"
 RESET_AT_CLOSE = struct.pack("ii", 1, 0)  # for SO_LINGER: what the kernel still holds is dropped
 
@@ -281,8 +283,11 @@
     def end(self, verdict: Verdict, detail: int = 0, keep: bool = False) -> None:
         if self.over:
             return
+        sent = self.connection is not None
         self.stop(keep)
         self.link.ends[verdict] += 1
+        if (sent or verdict is Verdict.BROKEN) and verdict in UNCLEAR and self.endpoint.role is Role.READER:
+            self.link.unclear[self.name] = None
         self.events.ended(verdict, detail, {}, {"kv": {}})
 
     def timed_out(self) -> None:
@@ -389,6 +394,8 @@
         self.pools: Pools[EngineConnection] = Pools(IDLE_PART * idle, connections, SETTLED)
         self.tasks = Tasks("link")
         self.letting_go: dict[str, list[EngineCall]] = {}  # by completion: dispatches that wait for it
+        self.unclear: dict[str, None] = {}  # requests whose prefill was given up, until it is let go
+        self.again: dict[str, asyncio.TimerHandle] = {}  # requests whose release is to be said once more
         self.ends: Counter[Verdict] = Counter()
         self.spoilt = self.unreleased = 0
         self.stopped = False
@@ -398,6 +405,8 @@
         timeout: float, events: CallEvents,
     ) -> EngineCall:
         call = EngineCall(self, endpoint, name, body, mark, timeout, events)
+        if name in self.again:
+            self.again.pop(name).cancel()
         if name in self.letting_go:
             # Guards against a DELETE that comes after the dispatch it was sent before: it names the
             # completion, and would take the state from that one. Costs the wait for its answer.
@@ -421,6 +430,8 @@
                     await asyncio.sleep(wait)
                 attempt = Release(self, asked[-1], name, tries.patience(self.loop.time()))
                 if tries.is_over(await attempt.status):
+                    if name in self.unclear and not self.letting_go[name]:
+                        self.again[name] = self.loop.call_later(OVERTAKEN, self.release_again, holder, name)
                     return
                 other = next_to_ask(name, asked, self.pools.idle_addresses(), *self.listed())
                 if other is not holder and self.loop.time() < attempt.until:
@@ -429,9 +440,17 @@
             self.unreleased += 1
             log.warning("state not let go", completion=name, tried=[f"{e.address}:{e.port}" for e in asked])
         finally:
+            self.unclear.pop(name, None)
             for call in self.letting_go.pop(name, []):
                 call.start()
 
+    def release_again(self, endpoint: Endpoint, name: str) -> None:
+        """Guards against a release that is read, on another connection, before the prefill that was given up
+        ends well: what that left would stay. Not where another attempt has begun: it names the request, and
+        would take what that leaves. Costs one call for each prefill given up."""
+        del self.again[name]
+        self.release(endpoint, name)
+
     def give_back(self, connection: EngineConnection) -> None:
         if connection.closed() or self.stopped:
             connection.close()
@@ -445,4 +464,7 @@
 
     def stop(self) -> None:
         self.stopped = True
+        for timer in self.again.values():
+            timer.cancel()
+        self.again.clear()
         self.pools.close_idle()
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -197,7 +197,8 @@
 
     def idle(self) -> bool:
         """Nothing that was taken is open any more."""
-        return not (self.core.live or self.clients.connections or self.link.tasks.running)
+        return not (
+            self.core.live or self.clients.connections or self.link.tasks.running or self.link.again)
 
     def someone_waits(self) -> bool:
         """A connection waits to be accepted. Guards against an end that resets it: what its client has sent
