--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -417,3 +417,11 @@
         assert {k for _, k in content(store.head)} == {b"kept", b"well"}
     run(tmp_path, scene)
     run(tmp_path, after)
+
+
+@pytest.mark.parametrize("step", [3_600.0])
+def test_a_wall_clock_set_forward_in_service_ages_nothing(step: float) -> None:
+    """What is kept for a repeat window would expire at once, and run again when it comes again."""
+    clock = Clock(0.0, 100.0, 1.0)
+    assert clock.now(101.0 + step, 2.0) == 101.0
+    assert clock.now(102.0, 3.0) == 102.0
