Store time runs on by the monotonic clock; the wall clock counts at a start only

Cause: decisions.py, Clock.now took the wall clock whenever it was ahead. Between two starts the wall clock still decides: set forward there by mistake it expires too much.

--- a/heathford/store/decisions.py
+++ b/heathford/store/decisions.py
@@ -87,21 +87,18 @@
 
 
 class Clock:
-    """Store time: never behind what was recorded, whatever the wall clock says.
+    """Store time: never behind what was recorded; in service it runs on by a clock that nobody sets.
 
-    Guards against a wall clock set back between starts or in service, by which what has expired would come
-    back. While it is behind, time goes on from the latest known by a clock that only runs forward. Could
-    harm after a clock that was ahead by mistake: until the wall reaches that time, store time runs ahead of
-    it; what is put meanwhile still lasts as long as was asked.
+    Guards against a wall clock that is set: back, by which what has expired would come back, or forward in
+    service, by which all that is kept would expire at once and what it answers for would run again. Between
+    two starts only the wall clock can tell how long it was: set forward there by mistake, it still expires
+    too much; set back, too little. What is put lasts as long as was asked, whatever the wall clock says.
     """
 
     def __init__(self, latest: float, wall: float, steady: float) -> None:
         self.base, self.steady = max(latest, wall), steady
         self.behind = wall < latest - JUMP
 
-    def now(self, wall: float, steady: float) -> float:
-        forward = self.base + max(0.0, steady - self.steady)
-        if wall > forward:
-            self.base, self.steady = wall, steady
-            return wall
-        return forward
+    def now(self, steady: float) -> float:
+        """steady: s on the monotonic clock."""
+        return self.base + max(0.0, steady - self.steady)
--- a/heathford/store/store.py
+++ b/heathford/store/store.py
@@ -47,13 +47,16 @@
     they are; the persistent maps are made anew for a group, not for a write, which costs twenty times as
     much. Made by `open`; used from one loop."""
 
-    def __init__(self, journal: Journal, close: Callable[[], None], wall: Callable[[], float]) -> None:
-        self.journal, self.close_files, self.wall = journal, close, wall
+    def __init__(
+        self, journal: Journal, close: Callable[[], None], wall: Callable[[], float],
+        steady: Callable[[], float],
+    ) -> None:
+        self.journal, self.close_files, self.steady = journal, close, steady
         self.loop = asyncio.get_running_loop()
         self.health = Health()
         self.durable = journal.view
         self.whole: View | None = self.durable  # the head, if it has been asked for since the last write
-        self.clock = Clock(self.durable.time, wall(), time.monotonic())
+        self.clock = Clock(self.durable.time, wall(), steady())
         self.pending: deque[Batch] = deque()  # not yet on disk
         self.overlay: dict[tuple[str, bytes], tuple[Entry | None, int]] = {}  # theirs, and whose it is
         self.count = 0
@@ -70,8 +73,13 @@
             log.warning("the wall clock is behind the store's; store time goes on from its own")
 
     @classmethod
-    async def open(cls, folder: Path, wall: Callable[[], float] = time.time) -> "Store":
-        """Raises LockedError, DamageError, JournalError or OSError."""
+    async def open(
+        cls, folder: Path, wall: Callable[[], float] = time.time,
+        steady: Callable[[], float] = time.monotonic,
+    ) -> "Store":
+        """wall, steady: clocks in s, read at the start and in service.
+
+        Raises LockedError, DamageError, JournalError or OSError."""
         files = RealFiles(folder)
         files.take()
 
@@ -89,12 +97,12 @@
         except BaseException:
             files.close()
             raise
-        return cls(journal, files.close, wall)
+        return cls(journal, files.close, wall, steady)
 
     @property
     def now(self) -> float:
         """s of store time: never behind what was recorded."""
-        return self.clock.now(self.wall(), time.monotonic())
+        return self.clock.now(self.steady())
 
     # Reading.
 
