--- a/heathford/early_signals.py
+++ b/heathford/early_signals.py
@@ -3,7 +3,7 @@
 import signal
 from types import FrameType
 
-HELD = (signal.SIGHUP, signal.SIGTERM)
+HELD = (signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1)
 
 
 class HeldSignals:
--- a/tests/test_platform_signals.py
+++ b/tests/test_platform_signals.py
@@ -72,3 +72,9 @@
 ) -> None:
     status, said = asyncio.run(started(tmp_path, numbers))
     assert status == 0 and "ready" not in [line["event"] for line in said]
+
+
+def test_asking_for_the_history_before_it_can_be_told_ends_nothing(tmp_path: Path) -> None:
+    """The default of the signal would end the process."""
+    status, said = asyncio.run(started(tmp_path, [signal.SIGUSR1]))
+    assert status is None and said[-1]["event"] == "ready"
