--- a/heathford/soak/oracle.py
+++ b/heathford/soak/oracle.py
@@ -292,7 +292,8 @@
     def held(self, name: str, story: Story) -> None:
         """Each time in which a state is held and no attempt that has arrived is out."""
         engines = [attempt.engine for attempt in story.attempts]
-        if engines and self.within(story.asked, self.end, *engines, kinds=(Kind.LINK_UNREAD,)):
+        until = story.asked + story.budget
+        if engines and self.within(story.asked, until, *engines, kinds=(Kind.LINK_UNREAD,)):
             self.unseen += 1
             return
         steps = [Step(at, Holding.FREE, at) for at in story.releases]
