--- a/heathford/soak/client.py
+++ b/heathford/soak/client.py
@@ -88,12 +88,12 @@
     def say(self, kind: Seen, name: str, value: float = 0.0, text: str = "") -> None:
         self.note(Record(monotonic(), kind, self.front.name, name, "", value, text))
 
-    async def ask(self, again: str = "") -> None:
+    async def ask(self) -> None:
         if not await self.connect():
             return
         assert self.writer and self.reader
         self.count += 1
-        name = again or f"c{self.number}-{self.count}"
+        name = f"c{self.number}-{self.count}"
         request_class, budget = self.random.choice(CLASSES), self.random.choice(BUDGETS)
         reused = self.served > 0
         self.writer.write(
--- a/heathford/soak/oracle.py
+++ b/heathford/soak/oracle.py
@@ -1,13 +1,12 @@
 """Judges a run by its records: the users' rules and terms. Shares no code with the program."""
 
-from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
-from enum import Enum
 from math import inf, sqrt
 
 from heathford.soak.plan import Kind
 from heathford.soak.records import Record, Seen
+from heathford.soak.stories import Attempt, Holding, Step, Story, stories_of
 
 ANSWER_SLACK = 0.5  # s past a client's time within which an answer only earns nothing
 HELD_SLACK = 0.3  # s beyond the pin limit
@@ -19,7 +18,6 @@
 TROUBLE_BEFORE = 4.0  # s before a time in which a trouble may still be felt there
 REFUSED = (429, 503)
 OVERDUE = "overdue"
-NEVER_RAN = ("full", "gone")
 LINK_TROUBLES = tuple(kind for kind in Kind if kind.name.startswith("LINK_"))
 STOPS = (Kind.STOP_SHORT, Kind.STOP_LONG)
 DESCRIPTORS_GROW = 120
@@ -48,66 +46,6 @@
     what: str
 
 
-@dataclass
-class Attempt:
-    """One attempt as the sockets saw it. told: s that its engine was told; outcome: what that said."""
-
-    engine: str
-    first: float
-    last: float = inf
-    told: float = 0.0
-    delivered: float = inf
-    prefill: bool = False
-    outcome: str = ""
-    said: float = inf
-    closed: float = inf
-
-    @property
-    def ran(self) -> bool:
-        return self.delivered < inf and not self.prefill and self.outcome not in NEVER_RAN
-
-    @property
-    def end(self) -> float:
-        return min(self.said, self.closed)
-
-
-@dataclass
-class Story:
-    """All that was seen of one request."""
-
-    asked: float = inf
-    budget: float = 0.0
-    request_class: str = ""
-    front: str = ""
-    left: float = inf
-    answers: list[Record] = field(default_factory=list)
-    lost: list[Record] = field(default_factory=list)
-    cut: list[Record] = field(default_factory=list)
-    attempts: list[Attempt] = field(default_factory=list)
-    releases: list[float] = field(default_factory=list)
-
-    def attempt(self, engine: str) -> Attempt | None:
-        return next((a for a in reversed(self.attempts) if a.engine == engine), None)
-
-
-class Holding(Enum):
-    """What becomes of a state that prefill left."""
-
-    FREE = "used or released"
-    HELD = "held, no attempt that has arrived is out"
-    OUT = "an attempt is out that takes it up"
-    BACK = "that attempt has ended without"
-
-
-@dataclass(frozen=True)
-class Step:
-    """since: s from which the limit counts, if it is held from then on."""
-
-    time: float
-    holding: Holding
-    since: float
-
-
 class Oracle:
     """One run. Breaches are in the order of the checks."""
 
@@ -118,45 +56,14 @@
         self.unseen = 0  # requests whose bytes lay in a machine that confirms and never reads: not judged
         self.overtaken = 0  # releases that came before the read they are for, over a link in trouble
         self.crossed = 0  # requests whose kept connection ended under them: sent once more by clients
-        self.stories: dict[str, Story] = defaultdict(Story)
+        self.stories = stories_of(self.records)
         self.troubles = [record for record in self.records if record.kind is Seen.TROUBLE]
-        self.prefills = {r.engine for r in self.records if r.kind is Seen.DELIVERED and r.text == "prefill"}
+        self.prefills = {
+            r.engine for r in self.records if r.kind is Seen.DELIVERED and r.text == "prefill"
+        }
         self.exits = [record for record in self.records if record.kind is Seen.EXIT]
         self.lags = [record for record in self.records if record.kind is Seen.LAG]
         self.end = self.records[-1].time if self.records else 0.0
-        for record in self.records:
-            if record.request:
-                self.tell(self.stories[record.request], record)
-
-    def tell(self, story: Story, record: Record) -> None:
-        kind = record.kind
-        if kind is Seen.ASKED:
-            story.asked, story.budget = record.time, record.value / 1000
-            story.request_class, story.front = record.text, record.front
-        elif kind is Seen.LEFT:
-            story.left = record.time
-        elif kind is Seen.ANSWERED:
-            story.answers.append(record)
-        elif kind is Seen.LOST:
-            story.lost.append(record)
-        elif kind is Seen.CUT:
-            story.cut.append(record)
-        elif kind is Seen.FIRST_BYTE:
-            story.attempts.append(Attempt(record.engine, record.time))
-        elif kind is Seen.RELEASED:
-            story.releases.append(record.time)
-        elif attempt := story.attempt(record.engine):
-            self.tell_attempt(attempt, record)
-
-    def tell_attempt(self, attempt: Attempt, record: Record) -> None:
-        if record.kind is Seen.LAST_BYTE:
-            attempt.last, attempt.told = record.time, record.value / 1000
-        elif record.kind is Seen.DELIVERED:
-            attempt.delivered, attempt.prefill = record.time, record.text == "prefill"
-        elif record.kind is Seen.ENGINE_SAID:
-            attempt.outcome, attempt.said = record.text, record.time
-        elif record.kind is Seen.GIVEN_UP:
-            attempt.closed = min(attempt.closed, record.time)
 
     # What excuses.
 
@@ -285,8 +192,12 @@
             if attempt.last < inf:
                 more = attempt.told - (story.asked + story.budget - attempt.last)
                 # An unread link's bytes are noted when they are read, long after they were written.
-                unread = self.within(attempt.last, attempt.last, attempt.engine, kinds=(Kind.LINK_UNREAD,))
-                if not unread and more > TOLD_SLACK + self.allowance(story.front, story.asked, attempt.last):
+                unread = self.within(
+                    attempt.last, attempt.last, attempt.engine, kinds=(Kind.LINK_UNREAD,)
+                )
+                if not unread and more > TOLD_SLACK + self.allowance(
+                    story.front, story.asked, attempt.last
+                ):
                     self.breach("deadline told", attempt.last, name, f"{more:.3f} s more than is left")
 
     def held(self, name: str, story: Story) -> None:
@@ -333,7 +244,8 @@
     def check_held(self, name: str, story: Story, since: float, until: float) -> None:
         limit = self.limits.pin + HELD_SLACK + self.allowance(story.front, since, until)
         excused = self.killed(story.front, story.asked, since + limit) or any(
-            ended.front == story.front and story.asked <= ended.time <= since + limit for ended in self.exits
+            ended.front == story.front and story.asked <= ended.time <= since + limit
+            for ended in self.exits
         )
         if until - since > limit and since + limit < self.end and not excused:
             self.breach("5 held", since + limit, name, f"held for {until - since:.3f} s")
@@ -401,8 +313,10 @@
         for record in self.records:
             if record.kind is Seen.EXIT and record.text:
                 self.breach("crash", record.time, record.front, f"status {record.value:.0f}")
-            elif record.kind is Seen.LOG and OVERDUE in record.text and self.within(
-                record.time, record.time, record.front, kinds=STOPS
+            elif (
+                record.kind is Seen.LOG
+                and OVERDUE in record.text
+                and self.within(record.time, record.time, record.front, kinds=STOPS)
             ):
                 continue  # its time went by while it was stopped
             elif record.kind is Seen.LOG:
