--- a/heathford/soak/client.py
+++ b/heathford/soak/client.py
@@ -178,14 +178,6 @@
             async with asyncio.timeout(4.0):
                 await reader.read(1)
         waited = monotonic() - began
-        if waited > 3.0 and front.ready:
-            self.note(
-                Record(
-                    monotonic(),
-                    Seen.LOG,
-                    front.name,
-                    value=waited,
-                    text="a bad client waits for over 3 s",
-                )
-            )
+        if front.ready:
+            self.note(Record(monotonic(), Seen.WAITED, front.name, value=waited))
         writer.close()
--- a/heathford/soak/records.py
+++ b/heathford/soak/records.py
@@ -24,6 +24,7 @@
     TROUBLE = "a trouble began, for so many seconds"
     EXIT = "a front node ended with that status"
     LOG = "a front node logged that something is wrong"
+    WAITED = "a client that asks nothing whole got an answer or a close after so many seconds"
     LAG = "the soak's own loop was behind by so many seconds"
     MEASURE = "descriptors and memory of a front node"
 
