--- a/heathford/soak/oracle.py
+++ b/heathford/soak/oracle.py
@@ -14,6 +14,7 @@
 TOLD_SLACK = 0.15  # s by which the deadline told may be more than what is left
 EVENT_SLACK = 0.3  # s in which an event is passed on
 LIST_SLACK = 6.0  # s after which a list change counts, whatever failed
+OWED_WITHIN = 3.0  # s in which a client that asks nothing whole is owed an answer or a close
 OWN_SLACK = 0.03  # s: the soak's own turns, where its lag says nothing
 TROUBLE_BEFORE = 4.0  # s before a time in which a trouble may still be felt there
 REFUSED = (429, 503)
@@ -313,6 +314,12 @@
         for record in self.records:
             if record.kind is Seen.EXIT and record.text:
                 self.breach("crash", record.time, record.front, f"status {record.value:.0f}")
+            elif record.kind is Seen.WAITED:
+                over = record.value - OWED_WITHIN
+                if over > self.allowance(record.front, record.time - record.value, record.time):
+                    self.breach(
+                        "bad client", record.time, record.front, f"waited for {record.value:.3f} s"
+                    )
             elif (
                 record.kind is Seen.LOG
                 and OVERDUE in record.text
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -67,6 +67,7 @@
     "deadline told": [asked(budget=1_000.0), *attempt(10.0, "r", "read", told=1_250.0),
                       *attempt(10.1, "w", "stream", told=800.0), answered(10.4, 200)],
     "event held back": [*CLEAN, Record(10.4, Seen.LATE_EVENT, "n", "c", "", 0.4)],
+    "bad client": [*CLEAN, Record(14.0, Seen.WAITED, "n", value=3.1)],
     "crash": [*CLEAN, Record(12.0, Seen.EXIT, "n", value=1, text="unexpected")],
     "log": [*CLEAN, Record(12.0, Seen.LOG, "n", text="Traceback")],
     "descriptors": [*CLEAN, Record(30.0, Seen.MEASURE, "n", value=170, text="30000")],
@@ -94,6 +95,8 @@
      RELEASED, *attempt(11.4, "w", "stream", told=900.0)],
     [Record(10.0, Seen.DRAINED, "n", "", "w"), *CLEAN],
     [asked(), Record(10.0, Seen.TROUBLE, "n", value=2.0, text="STOP_LONG"), answered(14.0, 502)],
+    [*CLEAN, Record(12.0, Seen.TROUBLE, "n", value=2.0, text="STOP_LONG"),
+     Record(14.0, Seen.WAITED, "n", value=3.9)],
     [asked(), Record(10.1, Seen.TROUBLE, "n", value=0.1, text="KILL"),
      Record(10.2, Seen.LOST, "n", "c", "", 0.0, "new")],
 ])
