--- a/heathford/soak/oracle.py
+++ b/heathford/soak/oracle.py
@@ -179,6 +179,8 @@
 
     def client_gone(self, name: str, story: Story) -> None:
         for attempt in story.attempts:
+            if self.within(attempt.first, attempt.first, attempt.engine, kinds=(Kind.LINK_UNREAD,)):
+                continue  # noted when it was read, long after it was written
             late = attempt.first - story.left - GONE_SLACK
             if late > self.allowance(story.front, story.left, attempt.first):
                 self.breach(
