--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -7,6 +7,9 @@
 import pytest
 from test_platform import ALL, Client, Node, asked, play, reader, writer
 
+from heathford.core.gate import HELD_UP
+from heathford.platform.client_server import FIRST, SWEEP, WRITES
+
 GONE = 0.1  # s after a client has gone from which no attempt may begin
 
 
@@ -195,3 +198,7 @@
             assert (status, whole) == (502, True)
             assert await node.process.wait() == 0
     play(tmp_path, [a, b], day)
+
+
+def test_half_a_request_is_told_within_three_seconds_also_where_the_loop_is_held_up() -> None:
+    assert max(WRITES, FIRST) + SWEEP + HELD_UP < 3.0
--- a/tests/test_state_held.py
+++ b/tests/test_state_held.py
@@ -113,3 +113,23 @@
         await asyncio.sleep(LIMIT)
         assert reader.deletes + writer.deletes == 1
     run_day(tmp_path, day)
+
+
+def test_what_the_kernel_holds_of_an_attempt_given_up_is_never_delivered(tmp_path: Path) -> None:
+    """The engine reads on after we have let go: what comes then must not be a whole request."""
+    async def day(play: Day) -> None:
+        reader, writer = play.engines
+        client = play.client()
+        client.say(request("c0", size=LARGE))
+        (await reader.asked()).sock.sendall(READ)
+        await until(lambda: reader.deletes > 0, "the release")
+        sock = writer.listener.accept()[0]
+        got = 0
+        try:
+            while part := await asyncio.to_thread(sock.recv, 65_536):
+                got += len(part)
+        except ConnectionResetError:
+            pass
+        assert 0 < got < LARGE
+        sock.close()
+    run_day(tmp_path, day, prefill(), deaf_decode())
