The soak's shims share how calls are cut short; its pin limit is read from its settings

The break and the interruption of a connection stood twice in the start-up hook; the pin limit stood beside the settings that name it; a random generator, a copy and an assertion were of no use. No program of the front node is touched.

--- a/heathford/soak/hook/sitecustomize.py
+++ b/heathford/soak/hook/sitecustomize.py
@@ -14,6 +14,8 @@
 
 SHIMS = json.loads(os.environ.get("SOAK_SHIMS", "[]"))
 CHANCE = 0.3  # of the calls in its time that a shim fails
+INTERRUPTED = 0.3  # of the short calls
+BREAKS = 0.02  # of the calls on a connection while links break
 LOGS = 2  # the descriptor of standard error
 draw = random.Random(os.getpid())
 
@@ -78,16 +80,26 @@
     socket.socket.connect = connected  # type: ignore[method-assign, assignment]
 
 
+def interrupt() -> None:
+    """Some of the calls that are cut short are interrupted instead."""
+    if draw.random() < INTERRUPTED:
+        raise InterruptedError(errno.EINTR, "shim")
+
+
+def break_link() -> None:
+    """A connection breaks now and then, as one whose peer has vanished."""
+    if active("LINK_BREAKS") is not None and draw.random() < BREAKS:
+        raise OSError(draw.choice((errno.ETIMEDOUT, errno.EHOSTUNREACH)), "shim")
+
+
 def fail_send() -> None:
     send = socket.socket.send
 
     def sent(self: socket.socket, data: Any, *flags: int) -> int:
         if fails("SEND_SHORT"):
-            if draw.random() < 0.3:
-                raise InterruptedError(errno.EINTR, "shim")
+            interrupt()
             data = bytes(data)[: max(1, len(data) // 2)]
-        if active("LINK_BREAKS") is not None and draw.random() < 0.02:
-            raise OSError(draw.choice((errno.ETIMEDOUT, errno.EHOSTUNREACH)), "shim")
+        break_link()
         return send(self, data, *flags)
 
     socket.socket.send = sent  # type: ignore[method-assign, assignment]
@@ -98,11 +110,9 @@
 
     def received(self: socket.socket, size: int, *flags: int) -> bytes:
         if fails("RECV_SHORT"):
-            if draw.random() < 0.3:
-                raise InterruptedError(errno.EINTR, "shim")
+            interrupt()
             size = min(size, draw.randint(1, 40))
-        if active("LINK_BREAKS") is not None and draw.random() < 0.02:
-            raise OSError(draw.choice((errno.ETIMEDOUT, errno.EHOSTUNREACH)), "shim")
+        break_link()
         return recv(self, size, *flags)
 
     socket.socket.recv = received  # type: ignore[method-assign, assignment]
--- a/heathford/soak/run.py
+++ b/heathford/soak/run.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
-from random import Random
 from time import monotonic
 from typing import Any
 
@@ -75,7 +74,6 @@
         self.client_troubles: list[Kind] = []
         self.made = 0
         self.draining: set[int] = set()
-        self.random = Random(plan.seed)
         self.tasks: list[asyncio.Task[None]] = []
 
     def note(self, record: Record) -> None:
@@ -83,10 +81,11 @@
 
     @property
     def limits(self) -> Limits:
-        safety = soak_settings(self.count)["safety"]
+        told = soak_settings(self.count)
+        safety = told["safety"]
         window = safety["fallNs"] / SECOND
         return Limits(
-            pin=0.3,
+            pin=told["familyInfo"]["pinLimitNs"] / SECOND,
             grace=GRACE,
             window=WINDOW,
             effects=EFFECTS,
@@ -116,8 +115,8 @@
         return [engine.stand.row(engine.relay.port) for engine in self.engines]
 
     async def new_front(self, number: int) -> None:
-        agents, addresses = [], []
-        place = len(self.discovery)
+        agents: list[Agent] = []
+        addresses = []
         for _ in range(2):
             agent = SoakAgent(self.rows)
             host, _, port = (await agent.open()).rpartition(":")
@@ -126,8 +125,7 @@
             agents.append(agent)
             addresses.append(f"127.0.0.1:{relay.port}")
             self.discovery.append(relay)
-        assert len(self.discovery) == place + 2
-        self.agents.append([*agents])
+        self.agents.append(agents)
         self.fronts.append(
             FrontProcess(
                 f"n{number}",
