The history tells of each held state: looks, releases asked and answered, why refused

Need: the report's lines could not tell whether a release was written, when, to which engine, or what the look for arrival found. Change: core/held_state.py follows what each prefill attempt left; links tell each step of a release; a look for arrival says what it found; a refusal says why; the state line has held (open, longest, and how they ended). Behaviour as before.

--- a/benchmarks/unguarded_front.py
+++ b/benchmarks/unguarded_front.py
@@ -81,7 +81,9 @@
 
 
 def pins_states() -> None:
-    link.EngineLink.release = lambda self, endpoint, name: None  # type: ignore[method-assign]
+    def release(self: link.EngineLink, endpoint: Any, name: str, events: Any) -> None:
+        """Ask nobody."""
+    link.EngineLink.release = release  # type: ignore[method-assign]
 
 
 def forgets_keys() -> None:
--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -16,6 +16,7 @@
 from heathford.core.doors import Call, Cancellable, Endpoint, Link, Loop, Sink
 from heathford.core.gate import (
     NOT_LISTED, Attempt, Event, Gate, Reason, RequestLife, Rule, Stage, Target)
+from heathford.core.held_state import HeldStage, HeldState, HeldStatistics, ReleaseReason
 from heathford.core.history import History
 from heathford.interface import (
     ANSWERED, NEVER_ARRIVED, NEVER_RAN, Handle, Health, Kind, Role, Verdict, Workload)
@@ -52,11 +53,12 @@
         self.arrived = False  # an engine has told so, or it lasted past the look
         self.arrival: Cancellable | None = None  # the look whether it has arrived
         self.call: Call | None = None
+        self.held: HeldState | None = None  # what this prefill attempt has left
         self.attempt = Attempt(taken.core.target(endpoint.number), self.reading, now)
         taken.life.attempts.append(self.attempt)
 
-    def record(self, event: str, reason: str = "") -> None:
-        self.taken.core.history.add(self.taken.name, event, reason, self.seq, self.endpoint.name)
+    def record(self, event: str, reason: str = "", engine: str = "") -> None:
+        self.taken.core.history.add(self.taken.name, event, reason, self.seq, engine or self.endpoint.name)
 
     def wanted(self) -> bool:
         """Guards against an attempt that begins once its client has gone: the end of its connection may lie
@@ -81,6 +83,8 @@
         if self.over or self.streaming:
             return
         self.streaming = True
+        if self.taken.state_at and self.taken.state_at.held:
+            self.taken.state_at.held.end(HeldStage.TAKEN)
         if self.taken.life.stage is Stage.SENT:  # else its client has just been answered or has left
             self.taken.core.gate.step(self.taken.life, Event.FIRST_EVENT)
         self.record("first event")
@@ -93,10 +97,17 @@
             taken.timer = core.loop.call_at(core.loop.time() + core.stream_limit, taken.stream_too_long)
         core.tell(taken, lambda handle: handle.first_token(self.seq, latency))
 
+    def hold_state(self) -> HeldState:
+        """Follow what this prefill attempt has left, or may have left."""
+        if not self.held:
+            core = self.taken.core
+            self.held = HeldState(core.loop.time(), core.loop.time, self.record, core.held_statistics)
+        return self.held
+
     def look_for_arrival(self) -> None:
         """Guards against a state that is held behind an attempt which reaches nobody: it stops no clock."""
         if self.call and not self.over and not self.streaming:
-            self.call.give_up_unless_arrived()
+            self.record("look for arrival", self.call.give_up_unless_arrived().name)
 
     def tokens(self, part: Any) -> None:
         if self.streaming and not self.over and not self.taken.over:
@@ -121,12 +132,13 @@
             taken.out = None
         if verdict is Verdict.READ:
             taken.kv, taken.state_at, taken.read_at = answer["kv"], self, core.loop.time()
+            self.hold_state()
             if taken.abandoned:
-                taken.release()
+                taken.release(ReleaseReason.REQUEST_OVER)
         elif self.reading and verdict not in NEVER_RAN:
             # Guards against a read that ends unseen: its state may wait at the reader though we were never
             # told of it, and only its name lets it go. Harms nothing where there is none.
-            taken.let_go(self)
+            taken.let_go(self, ReleaseReason.PREFILL_UNCLEAR)
         if verdict is Verdict.FINISHED:
             taken.finish(answer.get("reason") or "stop", answer.get("usage") or {})
         elif self.streaming:
@@ -187,16 +199,22 @@
     def rate_limit(self, retry_after: float) -> None:
         if not self.over and self.core.gate.may_answer_refused(self.life) is not Reason.ALLOWED:
             self.abort("it may have run")
-        elif self.close("rate_limited"):
+        elif self.close("rate_limited", self.given_up):
             self.core.guarded(self.sink, lambda: self.sink.rate_limited(retry_after))
 
+    @property
+    def given_up(self) -> str:
+        """Why the Router has given it up."""
+        why = self.handle.given_up if self.handle else None
+        return why.value if why else ""
+
     def abort(self, why: str = "given up") -> None:
         if self.close("aborted", why):
             self.core.guarded(self.sink, lambda: self.sink.aborted(why))
 
-    def release(self) -> None:
+    def release(self, reason: ReleaseReason = ReleaseReason.POLICY) -> None:
         if self.state_at:
-            self.let_go(self.state_at)
+            self.let_go(self.state_at, reason)
             self.check_held()
         self.kv = self.state_at = None
 
@@ -228,12 +246,14 @@
                 since = max(since, dispatch.ended_at)
         self.core.gate.check_held(self.name, self.core.loop.time() - since, self.core.pin_limit)
 
-    def let_go(self, dispatch: Dispatch) -> None:
+    def let_go(self, dispatch: Dispatch, reason: ReleaseReason) -> None:
         """Now, before the next dispatch: one that can't connect, or whose bytes reach nobody, stops no clock,
         and several in a row outlast the pin limit. Where all have one name the link holds what is sent next
         until the release is through, so that it takes no later state. Costs that dispatch a round trip."""
-        dispatch.record("release")
-        self.core.link.release(dispatch.endpoint, dispatch.name)
+        dispatch.record("release", reason.value)
+        held = dispatch.hold_state()
+        held.release_begins()
+        self.core.link.release(dispatch.endpoint, dispatch.name, held)
 
     def close(self, how: str, why: str = "") -> bool:
         """True for the first call only: a completion gets one final answer."""
@@ -276,7 +296,7 @@
         self.abort(why)
         if self.out:
             self.stop(self.out)
-        self.release()
+        self.release(ReleaseReason.DECISION_FAILED)
 
     @property
     def gone(self) -> bool:
@@ -306,6 +326,7 @@
         self.tally = Tally()
         self.history = History(loop.time)
         self.gate = Gate(self.violated)
+        self.held_statistics = HeldStatistics()
         self.endpoints: dict[int, Endpoint] = {}
         self.live: dict[Taken, None] = {}
         self.touched: dict[Taken, None] = {}  # this turn
@@ -486,3 +507,10 @@
     @property
     def open(self) -> int:
         return sum(not t.over for t in self.live)
+
+    def told_of_held(self) -> dict[str, float]:
+        """For the state line: states that are held, and how those that were have ended."""
+        now = self.loop.time()
+        open_states = [t.state_at.held for t in self.live if t.state_at and t.state_at.held]
+        return self.held_statistics.told(
+            max((now - held.begun_at for held in open_states if held.open), default=0.0))
--- a/heathford/core/doors.py
+++ b/heathford/core/doors.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any, Protocol
 
 from heathford.interface import Role, Verdict
@@ -46,9 +47,34 @@
     def withdraw(self) -> None:
         """Ends it with UNSENT, unless something of it may have left or it has ended."""
 
-    def give_up_unless_arrived(self) -> None:
+    def give_up_unless_arrived(self) -> "Arrival":
         """Ends it with UNREACHABLE where its last byte has not left this machine, with UNARRIVED where that
-        byte has left and is not confirmed; unless it has ended."""
+        byte has left and is not confirmed; unless it has ended. Tells what was found."""
+
+
+class Arrival(Enum):
+    """How far a dispatch has come, as far as this machine knows."""
+
+    UNSENT = "its last byte has not left"
+    UNCONFIRMED = "its last byte has left, and the far machine has not confirmed it"
+    CONFIRMED = "the far machine has confirmed it: whether its engine has read it is not known"
+    ANSWERED = "its engine has answered"
+
+
+class ReleaseEvents(Protocol):
+    """What a link tells of one release, of each engine by its name or address."""
+
+    def asked(self, engine: str) -> None:
+        """The release is on its way to an engine."""
+
+    def unanswered(self, engine: str, status: int) -> None:
+        """An engine did not confirm it; status: of its answer, 0 where there was none."""
+
+    def confirmed(self, engine: str) -> None:
+        """An engine has confirmed it. The last that is told, as `failed` is."""
+
+    def failed(self) -> None:
+        """No engine has confirmed it in its time."""
 
 
 class CallEvents(Protocol):
@@ -77,9 +103,10 @@
         the front and this link know it; `kv`: the read state that a writer takes up;
         `mark`: by which a tokened repeat is known, or empty. Tells of nothing before it has returned."""
 
-    def release(self, endpoint: Endpoint, name: str) -> None:
+    def release(self, endpoint: Endpoint, name: str, events: ReleaseEvents) -> None:
         """Lets go of the state that the dispatch `name` left, or may have left, at a reader. Where several
-        are called by one name, what is sent under it afterwards starts once this is through."""
+        are called by one name, what is sent under it afterwards starts once this is through. Tells of nothing
+        before it has returned."""
 
 
 class Cancellable(Protocol):
--- a/heathford/core/history.py
+++ b/heathford/core/history.py
@@ -37,6 +37,10 @@
         if reason:
             self.reasons[event, reason] += 1
 
+    def told(self, request: str) -> list[str]:
+        """Events of one request with their reasons, in order, as lines."""
+        return [": ".join(filter(None, (record.event, record.reason))) for record in self.of(request)]
+
     def of(self, request: str) -> list[Record]:
         """All that is still known of one request."""
         return [Record(*record) for record in self.records if record[1] == request]
--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -11,7 +11,7 @@
 import structlog
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
-from heathford.core.doors import CallEvents, Endpoint
+from heathford.core.doors import Arrival, CallEvents, Endpoint, ReleaseEvents
 from heathford.core.tasks import Tasks
 from heathford.engines.answers import cached, chunk, load_of, read_answer, verdict_of
 from heathford.engines.pools import Connections, Pools
@@ -48,19 +48,23 @@
         self.tasks.spawn(call.run(encoded(endpoint, name, body, kv, mark), timeout))
         return call
 
-    def release(self, endpoint: Endpoint, name: str) -> None:
-        self.tasks.spawn(self.let_go(endpoint, name))
+    def release(self, endpoint: Endpoint, name: str, events: ReleaseEvents) -> None:
+        self.tasks.spawn(self.let_go(endpoint, name, events))
 
-    async def let_go(self, endpoint: Endpoint, name: str) -> None:
+    async def let_go(self, endpoint: Endpoint, name: str, events: ReleaseEvents) -> None:
         loop = asyncio.get_running_loop()
         tries = LettingGo(loop.time(), self.pin_limit)
         while (wait := tries.next_try(loop.time())) is not None:
             if wait:
                 await asyncio.sleep(wait)
+            events.asked(endpoint.name)
             status = await self.delete(endpoint, name, tries.patience(loop.time()))
             if tries.is_over(status):
+                events.confirmed(endpoint.name)
                 return
+            events.unanswered(endpoint.name, status)
         log.warning("state not let go", engine=endpoint.name, dispatch=name)
+        events.failed()
 
     async def delete(self, endpoint: Endpoint, name: str, patience: float) -> int:
         """The status of the answer, or 0."""
@@ -150,10 +154,12 @@
         if self.stream is None:
             self.end(Verdict.UNSENT)
 
-    def give_up_unless_arrived(self) -> None:
+    def give_up_unless_arrived(self) -> Arrival:
         """Only what has no connection yet is known not to have arrived here."""
         if self.stream is None:
             self.end(Verdict.UNREACHABLE)
+            return Arrival.UNSENT
+        return Arrival.ANSWERED if self.begun else Arrival.CONFIRMED
 
     def end(self, verdict: Verdict, detail: int = 0, answer: Mapping[str, Any] | None = None,
             keep: bool = False) -> None:
--- a/heathford/interface.py
+++ b/heathford/interface.py
@@ -55,6 +55,14 @@
     UNARRIVED = "unarrived"  # sent, but its last byte is not known to have reached the engine; it still may
 
 
+class GivenUp(Enum):
+    """Why the Router gives a completion up."""
+
+    TIME_OVER = "its time is nearly over"
+    NO_ENGINE = "no listed engine may take it"
+    TURNED_AWAY = "it can hardly be in time"
+
+
 # Outcomes which prove that the dispatch had no effect.
 NEVER_RAN = frozenset({
     Verdict.FULL, Verdict.UNREACHABLE, Verdict.UNSENT, Verdict.READ, Verdict.CROWDED})
@@ -119,6 +127,10 @@
     def settled(self) -> bool:
         """Nothing more can happen to it."""
 
+    @property
+    def given_up(self) -> GivenUp | None:
+        """Why the Router has given it up, if it has."""
+
     def first_token(self, seq: int, latency: float) -> None: ...
 
     def ended(
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -15,7 +15,7 @@
 
 import structlog
 
-from heathford.core.doors import CallEvents, Endpoint
+from heathford.core.doors import Arrival, CallEvents, Endpoint, ReleaseEvents
 from heathford.core.tasks import Tasks
 from heathford.engines.letting_go import LettingGo, next_to_ask
 from heathford.engines.pools import Connections, Pools
@@ -268,17 +268,20 @@
         if self.connection is None or self.connection.unwritten:
             self.end(Verdict.UNSENT)
 
-    def give_up_unless_arrived(self) -> None:
+    def give_up_unless_arrived(self) -> Arrival:
         """Guards against what prefill holds for a request that never gets to its decode engine. Where only
         the confirmation is missing it may have run for all we know."""
         if self.over or self.begun:
-            return
+            return Arrival.ANSWERED
         connection = self.connection
         lies = undelivered(connection.transport) if connection else None
         if connection is None or connection.unwritten or (lies and lies.unsent):
             self.end(Verdict.UNREACHABLE)
-        elif lies and lies.unconfirmed:
+            return Arrival.UNSENT
+        if lies and lies.unconfirmed:
             self.end(Verdict.UNARRIVED)
+            return Arrival.UNCONFIRMED
+        return Arrival.CONFIRMED
 
     def end(self, verdict: Verdict, detail: int = 0, keep: bool = False) -> None:
         if self.over:
@@ -415,12 +418,12 @@
             self.loop.call_soon(call.start)
         return call
 
-    def release(self, endpoint: Endpoint, name: str) -> None:
+    def release(self, endpoint: Endpoint, name: str, events: ReleaseEvents) -> None:
         if name not in self.letting_go:
             self.letting_go[name] = []
-            self.tasks.spawn(self.let_go(endpoint, name))
+            self.tasks.spawn(self.let_go(endpoint, name, events))
 
-    async def let_go(self, holder: Endpoint, name: str) -> None:
+    async def let_go(self, holder: Endpoint, name: str, events: ReleaseEvents) -> None:
         """The holder first; one that can't be reached would keep the state for good, so after that any
         other: each accepts it. Those that we have a connection to answer soonest."""
         tries, asked = LettingGo(self.loop.time(), self.pin_limit), [holder]
@@ -428,28 +431,35 @@
             while (wait := tries.next_try(self.loop.time())) is not None:
                 if wait:
                     await asyncio.sleep(wait)
+                engine = asked[-1].name or f"{asked[-1].address}:{asked[-1].port}"
+                events.asked(engine)
                 attempt = Release(self, asked[-1], name, tries.patience(self.loop.time()))
-                if tries.is_over(await attempt.status):
+                status = await attempt.status
+                if tries.is_over(status):
+                    events.confirmed(engine)
                     if name in self.unclear and not self.letting_go[name]:
-                        self.again[name] = self.loop.call_later(OVERTAKEN, self.release_again, holder, name)
+                        self.again[name] = self.loop.call_later(
+                            OVERTAKEN, self.release_again, holder, name, events)
                     return
+                events.unanswered(engine, status)
                 other = next_to_ask(name, asked, self.pools.idle_addresses(), *self.listed())
                 if other is not holder and self.loop.time() < attempt.until:
                     tries.refused()
                 asked.append(other)
             self.unreleased += 1
             log.warning("state not let go", completion=name, tried=[f"{e.address}:{e.port}" for e in asked])
+            events.failed()
         finally:
             self.unclear.pop(name, None)
             for call in self.letting_go.pop(name, []):
                 call.start()
 
-    def release_again(self, endpoint: Endpoint, name: str) -> None:
+    def release_again(self, endpoint: Endpoint, name: str, events: ReleaseEvents) -> None:
         """Guards against a release that is read, on another connection, before the prefill that was given up
         ends well: what that left would stay. Not where another attempt has begun: it names the request, and
         would take what that leaves. Costs one call for each prefill given up."""
         del self.again[name]
-        self.release(endpoint, name)
+        self.release(endpoint, name, events)
 
     def give_back(self, connection: EngineConnection) -> None:
         if connection.closed() or self.stopped:
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -152,6 +152,7 @@
             refused=dict(self.clients.refused), ends={v.value: n for v, n in self.link.ends.items()},
             spoilt=self.link.spoilt, unreleased=self.link.unreleased, engines=len(router.engines),
             conns=self.link.pools.open, version=self.instances.version, lag=round(self.lag, 3),
+            held=self.core.told_of_held(),
             violations={rule.name: n for rule, n in self.core.gate.violations.items()},
             gate={reason.name: n for reason, n in self.core.gate.refused.items()},
             reasons={": ".join(key): n for key, n in self.core.history.reasons.most_common(REASONS_TOLD)},
--- a/heathford/policy/request_state.py
+++ b/heathford/policy/request_state.py
@@ -6,7 +6,8 @@
 from typing import Protocol
 
 from heathford.interface import (
-    ANSWERED, NEVER_ARRIVED, NEVER_RAN, Clock, CompletionDoor, Effect, Group, Role, Verdict, Workload)
+    ANSWERED, NEVER_ARRIVED, NEVER_RAN, Clock, CompletionDoor, Effect, GivenUp, Group, Role, Verdict,
+    Workload)
 from heathford.policy.engine_state import FAILURES, LIMITED, PACE_FADE, REST, Dispatch, Engine
 from heathford.policy.estimators import Fit, mixed_features, read_features
 
@@ -49,6 +50,7 @@
         self.out: Dispatch | None = None
         self.state: Engine | None = None  # the reader where its state waits
         self.held_since, self.over, self.stuck = 0.0, False, False
+        self.given_up: GivenUp | None = None
 
     @property
     def settled(self) -> bool:
@@ -144,11 +146,11 @@
             group is Group.ALL or (d.engine.zone == engine.zone and (
                 group is Group.ZONE or d.engine.cell == engine.cell)) for d in risky)
 
-    def give_up(self) -> None:
+    def give_up(self, why: GivenUp) -> None:
         if not self.dispatches and self.late_at > -inf:  # a guess of ours says nothing of what engines can do
             self.router.asked = max(0.0, self.router.asked - self.counts)
         self.let_go()
-        self.over = True
+        self.over, self.given_up = True, why
         known = self.workload.effect is Effect.TOKENED and self.workload.group is Group.ALL
         if known or self.workload.effect is Effect.IDEMPOTENT or not self.risky():
             self.door.rate_limit(self.router.retry_after)
--- a/heathford/policy/router.py
+++ b/heathford/policy/router.py
@@ -6,7 +6,8 @@
 from math import exp2, inf
 from statistics import median
 
-from heathford.interface import Clock, CompletionDoor, Effect, Health, InstanceDoor, Kind, Role, Workload
+from heathford.interface import (
+    Clock, CompletionDoor, Effect, GivenUp, Health, InstanceDoor, Kind, Role, Workload)
 from heathford.policy.engine_state import REPORT_LIFE, REST_MOST, Dispatch, Engine, remember
 from heathford.policy.estimators import STALE, Fit, reader_is_better
 from heathford.policy.placement import Ring, Test
@@ -140,9 +141,12 @@
         self.waiting = [c for c in self.waiting if c.stuck and not again and not c.over]
         for completion in sorted(here, key=lambda c: (c.state is None, c.late_at)):
             fresh = not completion.state and not completion.risky()
-            hopeless = now >= completion.due - LAST_CALL or not self.has_taker(completion, now)
-            if hopeless or (fresh and crowded and now >= completion.late_at):
-                completion.give_up()
+            if now >= completion.due - LAST_CALL:
+                completion.give_up(GivenUp.TIME_OVER)
+            elif not self.has_taker(completion, now):
+                completion.give_up(GivenUp.NO_ENGINE)
+            elif fresh and crowded and now >= completion.late_at:
+                completion.give_up(GivenUp.TURNED_AWAY)
             elif not self.placed(completion):
                 self.waiting.append(completion)
                 completion.stuck = fresh
--- a/heathford/standin/link.py
+++ b/heathford/standin/link.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from typing import Any
 
-from heathford.core.doors import CallEvents, Endpoint
+from heathford.core.doors import Arrival, CallEvents, Endpoint, ReleaseEvents
 from heathford.interface import Role, Verdict
 
 
@@ -31,8 +31,8 @@
         asyncio.get_running_loop().call_soon(call.go)
         return call
 
-    def release(self, endpoint: Endpoint, name: str) -> None:
-        pass
+    def release(self, endpoint: Endpoint, name: str, events: ReleaseEvents) -> None:
+        asyncio.get_running_loop().call_soon(events.confirmed, endpoint.name)
 
 
 class AnsweringCall:
@@ -46,8 +46,9 @@
         self.done()
         self.events.ended(Verdict.CANCELLED, 0, {}, {})
 
-    def give_up_unless_arrived(self) -> None:
+    def give_up_unless_arrived(self) -> Arrival:
         """What was sent has arrived, here."""
+        return Arrival.CONFIRMED
 
     def withdraw(self) -> None:
         """What was sent here has begun."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,7 +6,7 @@
 import pytest
 
 from heathford.core.core import Core, Taken
-from heathford.core.doors import CallEvents, Endpoint
+from heathford.core.doors import Arrival, CallEvents, Endpoint, ReleaseEvents
 from heathford.core.gate import Gate, Rule
 from heathford.interface import Effect, Group, Health, Kind, Role, Verdict, Workload
 from heathford.policy import Completion, Router
@@ -157,8 +157,9 @@
         self.cancelled = True
         self.events.ended(Verdict.CANCELLED, 0, {}, {})
 
-    def give_up_unless_arrived(self) -> None:
+    def give_up_unless_arrived(self) -> Arrival:
         """What was sent has arrived, here."""
+        return Arrival.CONFIRMED
 
     def withdraw(self) -> None:
         if not self.begun:
@@ -166,10 +167,30 @@
             self.events.ended(Verdict.UNSENT, 0, {}, {})
 
 
+class ReleaseHeard:
+    """What a link tells of one release, as lines."""
+
+    def __init__(self) -> None:
+        self.told: list[str] = []
+
+    def asked(self, engine: str) -> None:
+        self.told.append(f"asked {engine}")
+
+    def unanswered(self, engine: str, status: int) -> None:
+        self.told.append(f"unanswered {engine} {status}")
+
+    def confirmed(self, engine: str) -> None:
+        self.told.append(f"confirmed {engine}")
+
+    def failed(self) -> None:
+        self.told.append("failed")
+
+
 class RecordingLink:
     def __init__(self) -> None:
         self.out: list[Out] = []
         self.released: list[str] = []
+        self.releases: list[ReleaseEvents] = []
 
     def send(
         self, endpoint: Endpoint, name: str, body: Any, kv: Any, mark: str, timeout: float, events: CallEvents
@@ -177,8 +198,9 @@
         self.out.append(Out(endpoint.name, name, kv, events))
         return self.out[-1]
 
-    def release(self, endpoint: Endpoint, name: str) -> None:
+    def release(self, endpoint: Endpoint, name: str, events: ReleaseEvents) -> None:
         self.released.append(name)
+        self.releases.append(events)
 
 
 class Client:
--- /dev/null
+++ b/tests/test_history_of_held_state.py
@@ -0,0 +1,74 @@
+"""What the history and the state line tell of a state that prefill has left."""
+
+from collections.abc import Callable
+
+import pytest
+from conftest import Instance, Out
+
+from heathford.core.doors import Arrival
+from heathford.interface import Effect, Verdict
+
+
+def read(instance: Callable[..., Instance], effect: Effect = Effect.IDEMPOTENT) -> tuple[Instance, str]:
+    """An instance with one request whose prompt has been read; the request's name."""
+    i = instance(effect)
+    i.engines((10, 0), (12, 1), (13, 1))
+    _, taken = i.take()
+    i.read()
+    return i, taken.name
+
+
+@pytest.mark.parametrize("found", list(Arrival))
+def test_each_look_for_arrival_tells_what_it_found(
+    instance: Callable[..., Instance], monkeypatch: pytest.MonkeyPatch, found: Arrival
+) -> None:
+    monkeypatch.setattr(Out, "give_up_unless_arrived", lambda out: found)
+    i, name = read(instance)
+    i.loop.pass_time(0.13)
+    assert f"look for arrival: {found.name}" in i.core.history.told(name)
+
+
+def test_each_step_of_a_release_is_told_with_its_engine(instance: Callable[..., Instance]) -> None:
+    i, name = read(instance)
+    i.link.out[-1].events.ended(Verdict.FULL, 1, {}, {})
+    i.loop.turn()
+    release = i.link.releases[0]
+    release.asked("e10")
+    release.unanswered("e10", 0)
+    release.asked("e12")
+    release.confirmed("e12")
+    assert [line for line in i.core.history.told(name) if line.startswith("release")] == [
+        "release: the policy lets it go", "release asked", "release unanswered: no answer", "release asked",
+        "release confirmed"]
+    assert [r.engine for r in i.core.history.of(name) if r.event == "release confirmed"] == ["e12"]
+    held = i.core.told_of_held()
+    assert (held["open"], held["released"]) == (0, 1)
+
+
+def test_a_release_of_a_prefill_that_ended_unseen_says_so(instance: Callable[..., Instance]) -> None:
+    i = instance()
+    i.engines((10, 0), (12, 1))
+    _, taken = i.take()
+    i.link.out[-1].events.ended(Verdict.BROKEN, 0, {}, {})
+    i.loop.turn()
+    assert "release: its prefill attempt ended unseen" in i.core.history.told(taken.name)
+    i.link.releases[0].failed()
+    assert i.core.told_of_held()["unconfirmed"] == 1
+
+
+def test_the_state_line_tells_how_long_a_state_is_held_and_how_that_ends(
+    instance: Callable[..., Instance]
+) -> None:
+    i, _ = read(instance)
+    i.loop.pass_time(0.1)
+    assert i.core.told_of_held() == {"open": 1, "longest": 0.1}
+    i.link.out[-1].events.first_token()
+    assert i.core.told_of_held() == {"open": 0, "longest": 0.1, "taken": 1}
+
+
+def test_a_refusal_says_why(instance: Callable[..., Instance]) -> None:
+    i = instance()
+    i.engines((10, 0))
+    client, taken = i.take()
+    assert client.finals == ["rate-limited"]
+    assert i.core.history.told(taken.name)[-1] == "rate_limited: no listed engine may take it"
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import pytest
+from conftest import ReleaseHeard
 
 from heathford.core.doors import Endpoint
 from heathford.engines.letting_go import next_to_ask
@@ -140,7 +141,7 @@
         try:
             link = link_of(engine.endpoint(), other.endpoint())
             began = link.loop.time()
-            link.release(engine.endpoint(), "a1")
+            link.release(engine.endpoint(), "a1", ReleaseHeard())
             held = await other.accepted()
             await until(lambda: bool(select.select([held], [], [], 0.0)[0]))
             assert held.recv(65_536).startswith(b"DELETE /bootstrap/rooms/a1 ")
@@ -158,7 +159,7 @@
     """Guards against a release that takes the state of the dispatch after it."""
     async def day() -> None:
         link = link_of()
-        link.release(engine.endpoint(), "a1")
+        link.release(engine.endpoint(), "a1", ReleaseHeard())
         held = await engine.accepted()
         send(link, engine, Heard(lambda: None))
         await until(lambda: bool(select.select([held], [], [], 0.0)[0]))
@@ -176,7 +177,7 @@
 def test_what_waits_for_a_release_when_it_is_withdrawn_is_never_sent(engine: Engine) -> None:
     async def day() -> None:
         link = link_of()
-        link.release(engine.endpoint(), "a1")
+        link.release(engine.endpoint(), "a1", ReleaseHeard())
         heard = Heard(lambda: None)
         call = send(link, engine, heard)
         held = await engine.accepted()
@@ -234,7 +235,7 @@
             gone.close()
         link = link_of(*dead, engine.endpoint())
         began = link.loop.time()
-        link.release(dead[0], "a1")
+        link.release(dead[0], "a1", ReleaseHeard())
         held = await engine.accepted()
         assert link.loop.time() - began < 0.2
         await until(lambda: bool(select.select([held], [], [], 0.0)[0]))
--- a/tests/test_state_held.py
+++ b/tests/test_state_held.py
@@ -10,6 +10,7 @@
 from conftest import Instance, Out
 from raw_peers import Day, RawEngine, decode, prefill, request, run_day, until
 
+from heathford.core.doors import Arrival
 from heathford.interface import Effect, Verdict
 from heathford.standin.platform import READ
 
@@ -50,8 +51,9 @@
     instance: Callable[..., Instance], monkeypatch: pytest.MonkeyPatch, effect: Effect, verdict: Verdict
 ) -> None:
     """Each attempt is given up when the core looks."""
-    def look(out: Out) -> None:
+    def look(out: Out) -> Arrival:
         out.events.ended(verdict, 0, {}, {})
+        return Arrival.UNSENT
     monkeypatch.setattr(Out, "give_up_unless_arrived", look)
     i = instance(effect)
     i.engines((10, 0), (12, 1), (13, 1), (14, 1))
