A prefill answer that begins and does not end is given up after 0.1 s; the limit counts from its first byte

Also tests for releases whose 204 is lost, that several ask for, and where requests use up all connections.

--- a/benchmarks/front_cost.py
+++ b/benchmarks/front_cost.py
@@ -45,6 +45,8 @@
     def wanted(self) -> bool:
         return True
 
+    def answer_begun(self) -> None: ...
+
     def first_token(self) -> None:
         took = asyncio.get_running_loop().time() - self.intended
         self.times.record_value(max(1, int(took * 1e6)))
--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -78,6 +78,12 @@
         self.record("sent")
         return True
 
+    def answer_begun(self) -> None:
+        """The limit counts from the first byte that its prefill engine has answered."""
+        if not self.over:
+            self.record("answer begins")
+            self.hold_state()
+
     def first_token(self) -> None:
         if self.over or self.streaming:
             return
@@ -175,6 +181,8 @@
             # Guards against a read that ends unseen: its state may wait at the reader though we were never
             # told of it, and only its name lets it go. Harms nothing where there is none.
             taken.let_go(self, ReleaseReason.PREFILL_UNCLEAR)
+        elif self.held:
+            self.held.end(HeldStage.NEVER_HELD)
         if verdict is Verdict.FINISHED:
             taken.finish(answer.get("reason") or "stop", answer.get("usage") or {})
         elif self.streaming:
--- a/heathford/core/doors.py
+++ b/heathford/core/doors.py
@@ -84,6 +84,9 @@
         """Asked right before the first byte leaves: whether the attempt is to begin. If not, the link ends it
         as UNSENT, unless that has happened meanwhile."""
 
+    def answer_begun(self) -> None:
+        """Part of a reader's answer has come: it may hold the state from now on."""
+
     def first_token(self) -> None: ...
 
     def tokens(self, part: Any) -> None: ...
--- a/heathford/core/held_state.py
+++ b/heathford/core/held_state.py
@@ -17,6 +17,7 @@
     RELEASING = "releasing"  # engines are asked to release it
     TAKEN = "taken"  # by a decode attempt that has begun to stream
     RELEASED = "released"  # an engine has confirmed it
+    NEVER_HELD = "never held"  # its prefill attempt was turned away
     UNCONFIRMED = "unconfirmed"  # no engine has confirmed the release in its time
 
 
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -22,6 +22,7 @@
 SETTLED = 0.01  # s after an answer before a connection is used again: some engines close it then, and a
 # request that crosses the close may have run; ten times the way between zones
 SILENCE = 4.0  # s without an event after which a stream is held for dead: clients may be kept waiting for 5
+PREFILL_ANSWER = 0.1  # s in which a prefill engine's answer comes whole once it has begun: some 100 bytes
 OVERTAKEN = 0.1  # s after a release that may have overtaken the read it is for until it is said once more
 UNCLEAR = frozenset({Verdict.CANCELLED, Verdict.TIMED_OUT, Verdict.BROKEN})  # ends of a read that may go on
 
@@ -41,7 +42,8 @@
         self.name, self.body, self.mark, self.events = name, body, mark, events
         self.answer = Answer(endpoint.role is Role.READER)
         self.heard_at = 0.0  # when the last event came
-        self.begun = False
+        self.begun = False  # events of a stream have come
+        self.answer_begun = False  # of a prefill engine
 
     def start(self) -> None:
         if self.over:
@@ -137,6 +139,16 @@
             self.events.tokens(events)
         if done:
             self.end(verdict, detail, keep=self.answer.keep)
+        elif self.endpoint.role is Role.READER and not self.answer_begun:
+            self.begin_prefill_answer()
+
+    def begin_prefill_answer(self) -> None:
+        """Guards against a state that its engine holds while the rest of its answer never comes. Costs a
+        second read where the rest would have come later."""
+        self.answer_begun = True
+        self.events.answer_begun()
+        left = self.until - self.loop.time()
+        self.expect(max(0.0, min(PREFILL_ANSWER, left)), self.timed_out)
 
     def look_for_silence(self) -> None:
         """One timer that looks again, not one an event."""
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -42,6 +42,8 @@
     def wanted(self) -> bool:
         return True
 
+    def answer_begun(self) -> None: ...
+
     def first_token(self) -> None:
         self.events.append("first")
         self.begun.set()
--- a/tests/test_state_held.py
+++ b/tests/test_state_held.py
@@ -7,11 +7,12 @@
 from pathlib import Path
 
 import pytest
-from conftest import Instance, Out
+from conftest import Instance, Out, ReleaseHeard
 from raw_peers import Day, RawEngine, decode, prefill, request, run_day, until
 
 from heathford.core.doors import Arrival
-from heathford.interface import Effect, Verdict
+from heathford.interface import HELD_UP, Effect, Verdict
+from heathford.platform.release_schedule import SPACING
 from heathford.standin.platform import READ
 
 LIMIT = 0.3  # s, as the stand-in's settings have it
@@ -251,3 +252,78 @@
     taken.leave()
     i.loop.pass_time(DUE + 0.01)
     assert i.link.released == [i.link.out[0].name]
+
+
+@pytest.mark.parametrize("part", [READ[:20], READ[:-4]], ids=["half a head", "half a body"])
+def test_a_prefill_answer_that_begins_and_does_not_end_is_released_in_time(
+    tmp_path: Path, part: bytes
+) -> None:
+    """The engine has read the prompt and holds the state; the rest of its answer never comes."""
+    async def day(play: Day) -> None:
+        reader = play.engines[0]
+        client = play.client()
+        client.say(request("c0"))
+        (await reader.asked()).sock.sendall(part)
+        began = time.monotonic()
+        await until(lambda: reader.deletes > 0, "the release")
+        assert time.monotonic() - began <= LIMIT + ALLOWANCE - HELD_UP
+    run_day(tmp_path, day)
+
+
+def test_a_release_is_heard_by_all_who_asked_and_goes_on_where_answers_are_lost(tmp_path: Path) -> None:
+    """The holder reads the DELETE, and its 204 is lost: another engine is asked beside it."""
+    async def day(play: Day) -> None:
+        reader, writer = play.engines
+        heard = ReleaseHeard(), ReleaseHeard()
+        holder = play.node.instances.listed(0)[0][0]
+        began = time.monotonic()
+        for one in heard:
+            play.node.link.release(holder, "c0", one)
+        await reader.asked(1, b"DELETE")
+        second = await writer.asked(1, b"DELETE")
+        assert time.monotonic() - began < 2 * SPACING + 0.05
+        second.sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+        await until(lambda: not play.node.link.releases, "the end of the release")
+        assert reader.deletes == writer.deletes == 1
+        assert heard[1].told[-1].startswith("confirmed") and heard[0].told[-1] == heard[1].told[-1]
+    run_day(tmp_path, day)
+
+
+def test_a_release_has_a_connection_where_requests_use_up_all_of_theirs(tmp_path: Path) -> None:
+    async def day(play: Day) -> None:
+        reader = play.engines[0]
+        pools = play.node.link.pools
+        pools.open = int(pools.most - pools.urgent)
+        heard = ReleaseHeard()
+        play.node.link.release(play.node.instances.listed(0)[0][0], "c0", heard)
+        (await reader.asked(1, b"DELETE")).sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+        await until(lambda: not play.node.link.releases, "the end of the release")
+        assert [line.partition(" ")[0] for line in heard.told] == ["asked", "confirmed"]
+    run_day(tmp_path, day)
+
+
+def test_a_prefill_attempt_that_is_turned_away_in_pieces_holds_nothing(
+    instance: Callable[..., Instance]
+) -> None:
+    i = instance()
+    i.engines((10, 0), (12, 1))
+    i.take()
+    i.link.out[-1].events.answer_begun()
+    i.link.out[-1].events.ended(Verdict.FULL, 0, {}, {})
+    i.loop.turn()
+    assert i.link.released == [] and i.core.told_of_held()["open"] == 0
+
+
+def test_the_limit_counts_from_the_first_byte_of_prefill_s_answer(
+    instance: Callable[..., Instance], no_violations: list[str]
+) -> None:
+    i = instance()
+    i.link.confirms = False
+    i.engines((10, 0), (12, 1))
+    i.take()
+    i.link.out[-1].events.answer_begun()
+    i.loop.pass_time(0.1)
+    i.read()
+    i.loop.pass_time(LIMIT + ALLOWANCE - 0.09)
+    assert no_violations == ["HELD: cmpl-f-1: held for 0.600 s, releasing"]
+    no_violations.clear()
