--- a/heathford/soak/client.py
+++ b/heathford/soak/client.py
@@ -18,7 +18,7 @@
 STALLED = 5.0  # s without a byte after which a client gives a stream up
 LATEST = 2.0  # s past its budget for which a client waits: what comes then is late
 THINKS = (0.05, 0.5)  # s between two requests, between
-BUDGETS = (900, 1_500, 3_000)  # ms
+BUDGETS = (0.3, 0.5, 1.0)  # of the deployment's longest deadline
 SIZES = (36, 2_000, 60_000)  # bytes of a prompt
 CLASSES = ("chat", "booking", "order")
 LEAVE_PART = 0.05  # of requests whose client leaves, without any trouble
@@ -49,9 +49,11 @@
     """One client; asks one request after the other until it is cancelled."""
 
     def __init__(
-        self, number: int, fronts: list[FrontAddress], note: Note, troubles: list[Kind], seed: int
+        self, number: int, fronts: list[FrontAddress], note: Note, troubles: list[Kind], seed: int,
+        longest_deadline: float,
     ) -> None:
         self.number, self.fronts, self.note, self.troubles = number, fronts, note, troubles
+        self.budgets = [int(1000 * part * longest_deadline) for part in BUDGETS]  # ms
         self.random = Random(seed * 10_007 + number)
         self.count = 0
         self.reader: asyncio.StreamReader | None = None
@@ -69,7 +71,8 @@
                     await self.ask()
 
     async def connect(self) -> bool:
-        if self.writer and not self.writer.is_closing() and self.front.ready:
+        """Use the open connection for as long as it stays open, also while its front node ends."""
+        if self.writer and self.reader and not self.writer.is_closing() and not self.reader.at_eof():
             return True
         self.drop()
         ready = [front for front in self.fronts if front.ready]
@@ -94,7 +97,7 @@
         assert self.writer and self.reader
         self.count += 1
         name = f"c{self.number}-{self.count}"
-        request_class, budget = self.random.choice(CLASSES), self.random.choice(BUDGETS)
+        request_class, budget = self.random.choice(CLASSES), self.random.choice(self.budgets)
         reused = self.served > 0
         self.writer.write(
             request_bytes(name, request_class, budget, self.random.choice(SIZES), f"s{self.number}")
--- a/heathford/soak/engine.py
+++ b/heathford/soak/engine.py
@@ -147,6 +147,8 @@
 
     def received(self, data: bytes) -> None:
         if data.endswith(b"0\r\n\r\n") or (data.startswith(b"HTTP/1.1") and b"chunked" not in data):
+            if self.name:
+                self.say(monotonic(), Seen.PASSED_ON)
             self.name = ""  # answered whole: an end of the connection is no end of an attempt
 
     def closed(self) -> None:
--- a/heathford/soak/front.py
+++ b/heathford/soak/front.py
@@ -17,11 +17,17 @@
 from heathford.soak.client import FrontAddress
 from heathford.soak.plan import Kind
 from heathford.soak.records import Record, Seen
+from heathford.standin.platform import SECOND
 
 Note = Callable[[Record], None]
 HOOK = Path(__file__).parent / "hook"
 PORTS = (20_000, 30_000)  # below those that connections are given
-TO_THE_KILL = 3.7  # s from SIGTERM: the longest deadline, counted as 3 s, and 0.7
+LONGEST_COUNTED = 3.0  # s of the deployment's longest deadline that count for the kill
+PAST_DEADLINE = 0.7  # s after that, from SIGTERM, at which SIGKILL comes at the earliest
+NEW_CONNECTIONS = 0.3  # s from SIGTERM for which clients still open new ones
+HELD_UP = 0.15  # s for which a process may be held up, as the users state
+WITHIN_MILLISECONDS = 0.002  # s between two signals of a series
+ENDINGS = (Kind.TERMINATE, Kind.KILL, Kind.SIGNAL_SERIES, Kind.STOP_AMID_END)
 INTERPRETER_STARTS = (
     5.0  # s: a signal before the program's first line ends the process; the pages exclude it
 )
@@ -64,6 +70,8 @@
     ) -> None:
         self.name, self.folder, self.settings, self.note = name, folder, settings, note
         self.discoveries, self.shims = discoveries, shims
+        longest = max(category["deadlineNs"] for category in settings["categories"]) / SECOND
+        self.to_the_kill = min(longest, LONGEST_COUNTED) + PAST_DEADLINE
         self.address = FrontAddress(name, free_port())
         self.path = folder / f"{name}.json"
         self.process: asyncio.subprocess.Process | None = None
@@ -155,7 +163,7 @@
             self.send(signal.SIGHUP)
             await asyncio.sleep(0.01)
             self.send(signal.SIGHUP)
-        elif kind in (Kind.TERMINATE, Kind.KILL):
+        elif kind in ENDINGS:
             async with self.busy:
                 await self.restart(kind)
 
@@ -164,12 +172,13 @@
         if process is None or process.returncode is not None or self.over:
             return
         self.ends = True
-        if kind is Kind.TERMINATE:
-            self.send(signal.SIGTERM)
-            await asyncio.sleep(0.3)
+        if kind is not Kind.KILL:
+            told_at = monotonic()
+            await self.tell_to_end(kind)
+            await asyncio.sleep(told_at + NEW_CONNECTIONS - monotonic())
             self.address.ready = False
             with suppress(TimeoutError):
-                async with asyncio.timeout(TO_THE_KILL - 0.3):
+                async with asyncio.timeout(told_at + self.to_the_kill - monotonic()):
                     await process.wait()
         self.address.ready = False
         self.send(signal.SIGCONT)
@@ -180,6 +189,23 @@
         if not self.over:
             await self.start()
 
+    async def tell_to_end(self, kind: Kind) -> None:
+        """SIGTERM, alone or amid other signals."""
+        if kind is Kind.SIGNAL_SERIES:
+            self.discoveries.reverse()
+            self.configure()
+            self.send(signal.SIGHUP)
+            await asyncio.sleep(WITHIN_MILLISECONDS)
+        elif kind is Kind.STOP_AMID_END:
+            self.send(signal.SIGSTOP)
+        self.send(signal.SIGTERM)
+        if kind is Kind.SIGNAL_SERIES:
+            await asyncio.sleep(WITHIN_MILLISECONDS)
+            self.send(signal.SIGHUP)
+        elif kind is Kind.STOP_AMID_END:
+            await asyncio.sleep(HELD_UP)
+            self.send(signal.SIGCONT)
+
     def measure(self) -> None:
         if not self.process or self.process.returncode is not None:
             return
--- a/heathford/soak/oracle.py
+++ b/heathford/soak/oracle.py
@@ -18,10 +18,18 @@
 OWN_SLACK = 0.03  # s: the soak's own turns, where its lag says nothing
 TROUBLE_BEFORE = 4.0  # s before a time in which a trouble may still be felt there
 REFUSED = (429, 503)
-OVERDUE = "overdue"
-LINK_TROUBLES = tuple(kind for kind in Kind if kind.name.startswith("LINK_"))
+JUDGED_BY_RECORDS = ("overdue", '"HELD"', "'HELD'")
 STOPS = (Kind.STOP_SHORT, Kind.STOP_LONG)
+BREAK_STREAMS = (  # troubles that end a stream: its connections break, or its engine says nothing or ends
+    Kind.LINK_RESET, Kind.LINK_CUT, Kind.LINK_REFUSED, Kind.LINK_SILENT, Kind.LINK_UNREAD, Kind.LINK_BREAKS,
+    Kind.ENGINE_DRAINS)
+HIDE_DISCOVERY = (  # troubles by which a change of the list is told later: the pages count 6 s then
+    Kind.DISCOVERY_SILENT, Kind.DISCOVERY_SLOW, Kind.DISCOVERY_RESET, Kind.RELOAD, Kind.SIGNAL_SERIES,
+    Kind.LINK_BREAKS, Kind.CONNECT_FAILS)
+HOLD_EVENTS_BACK = (  # troubles of the way between an engine and a front node, or of the front node's calls
+    Kind.LINK_SILENT, Kind.LINK_DELAY, Kind.LINK_DRIP, Kind.LINK_UNREAD, Kind.SEND_SHORT, Kind.RECV_SHORT)
 DESCRIPTORS_GROW = 120
+DESCRIPTORS_MOST = 400  # as the soak's configuration limits them
 MEMORY_GROWS = 40_000  # kB
 
 
@@ -54,8 +62,7 @@
         self.records = sorted(records, key=lambda record: record.time)
         self.limits = limits
         self.breaches: list[Breach] = []
-        self.unseen = 0  # requests whose bytes lay in a machine that confirms and never reads: not judged
-        self.overtaken = 0  # releases that came before the read they are for, over a link in trouble
+        self.given_up_before = 0  # prefill attempts that were given up before their engine had read them
         self.crossed = 0  # requests whose kept connection ended under them: sent once more by clients
         self.stories = stories_of(self.records)
         self.troubles = [record for record in self.records if record.kind is Seen.TROUBLE]
@@ -126,7 +133,9 @@
         for lost in story.lost:
             if excused or story.left < inf:
                 continue
-            if lost.text == "reused":
+            unread = not story.attempts  # the pages: it is sent once more where it was not read
+            crowded = self.within(lost.time, lost.time, story.front, kinds=(Kind.CROWD,))
+            if unread and (lost.text == "reused" or crowded):
                 self.crossed += 1
             else:
                 self.breach("1 one answer", lost.time, name, f"lost: {lost.text}")
@@ -139,18 +148,18 @@
             if (
                 not excused
                 and story.left == inf
-                and not self.within(story.asked, cut.time, story.front, *engines)
+                and not self.within(story.asked, cut.time, story.front, *engines, kinds=BREAK_STREAMS)
             ):
                 self.breach("1 one answer", cut.time, name, "a stream was cut without any trouble")
 
     def no_effect_twice(self, name: str, story: Story) -> None:
         for earlier, later in zip(story.attempts, story.attempts[1:], strict=False):
             overlap = min(earlier.end, later.last) if later.last < inf else inf
-            # What a link in trouble still holds arrives behind the front node's close, as in no network.
-            in_flight = self.within(
-                earlier.first, later.last, earlier.engine, later.engine, kinds=LINK_TROUBLES
+            # A relay that does not read sees neither when an attempt was written nor when it was closed.
+            unseen = self.within(
+                earlier.first, later.last, earlier.engine, later.engine, kinds=(Kind.LINK_UNREAD,)
             )
-            if earlier.last < later.last < inf and overlap == later.last and not in_flight:
+            if earlier.last < later.last < inf and overlap == later.last and not unseen:
                 self.breach(
                     "2 no two out", later.last, name, f"{earlier.engine} is out, {later.engine} gets it"
                 )
@@ -205,11 +214,6 @@
 
     def held(self, name: str, story: Story) -> None:
         """Each time in which a state is held and no attempt that has arrived is out."""
-        engines = [attempt.engine for attempt in story.attempts]
-        until = story.asked + story.budget
-        if engines and self.within(story.asked, until, *engines, kinds=(Kind.LINK_UNREAD,)):
-            self.unseen += 1
-            return
         steps = [Step(at, Holding.FREE, at) for at in story.releases]
         for attempt in story.attempts:
             steps += self.steps_of(story, attempt)
@@ -227,16 +231,17 @@
 
     def steps_of(self, story: Story, attempt: Attempt) -> "list[Step]":
         if attempt.outcome == "read":
-            in_flight = self.within(attempt.first, attempt.said, attempt.engine, kinds=LINK_TROUBLES)
-            if in_flight and any(attempt.last < at < attempt.said for at in story.releases):
-                self.overtaken += 1
+            if attempt.closed < attempt.said:
+                # The pages: a state whose reading attempt was cancelled or timed out goes by itself.
+                self.given_up_before += 1
                 return []
             # Without its whole answer the attempt is out until it is given up, at its time at the latest.
             given_up = min(attempt.closed, attempt.first + attempt.told)
-            unheard = in_flight or attempt.closed < inf
-            return [Step(attempt.said, Holding.HELD, max(attempt.said, given_up if unheard else 0.0))]
-        # What the relay has read, its machine has confirmed: nothing tells a front node that it stays there.
-        arrived = min(attempt.last, attempt.delivered)
+            unheard = attempt.heard == inf or attempt.closed < inf
+            since = given_up if unheard else attempt.heard
+            return [Step(attempt.said, Holding.HELD, max(attempt.said, since))]
+        # Only what an engine has read is out: a relay, a kernel or a stopped process may keep the rest.
+        arrived = attempt.delivered
         if arrived == inf or attempt.prefill or attempt.engine in self.prefills:
             return []
         if attempt.outcome == "stream":
@@ -258,7 +263,7 @@
         for told in self.records:
             if told.kind is not Seen.DRAINED:
                 continue
-            troubled = self.within(told.time - 2.0, told.time + 1.0, told.front)
+            troubled = self.within(told.time - 2.0, told.time + 1.0, told.front, kinds=HIDE_DISCOVERY)
             most = max(
                 (
                     t.time + t.value
@@ -308,7 +313,10 @@
                 engines = [attempt.engine for attempt in story.attempts]
                 since = record.time - record.value
                 over = record.value - EVENT_SLACK - self.allowance(story.front, since, record.time)
-                if over > 0 and not self.within(since, record.time, story.front, *engines):
+                troubled = self.within(
+                    since, record.time, story.front, *engines, kinds=HOLD_EVENTS_BACK
+                )
+                if over > 0 and not troubled:
                     self.breach("event held back", record.time, record.request, f"{record.value:.3f} s")
 
     def processes(self) -> None:
@@ -324,15 +332,18 @@
                     )
             elif (
                 record.kind is Seen.LOG
-                and OVERDUE in record.text
+                and any(word in record.text for word in JUDGED_BY_RECORDS)
                 and self.within(record.time, record.time, record.front, kinds=STOPS)
             ):
-                continue  # its time went by while it was stopped
+                continue  # its time went by while it was stopped: the records of both ends are judged
             elif record.kind is Seen.LOG:
                 self.breach("log", record.time, record.request or record.front, record.text[:600])
             elif record.kind is Seen.MEASURE:
                 begin = first.setdefault(record.front, record)
-                if record.value > begin.value + DESCRIPTORS_GROW:
+                crowded = self.within(record.time, record.time, record.front, kinds=(Kind.CROWD,))
+                if record.value > DESCRIPTORS_MOST or (
+                    record.value > begin.value + DESCRIPTORS_GROW and not crowded
+                ):
                     self.breach(
                         "descriptors",
                         record.time,
--- a/heathford/soak/plan.py
+++ b/heathford/soak/plan.py
@@ -2,13 +2,16 @@
 
 import json
 from collections.abc import Callable, Sequence
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from enum import Enum
 from itertools import combinations
 from random import Random
 
 TOUCH = 0.1  # s from a step of one trouble to the beginning of the next
 QUIET = 1.0  # s at the beginning and the end of a run without trouble
+DEADLINES = (0.4, 1.0, 3.0)  # s: the longest of the deployment, drawn for each run
+TIMES_SILENT = 3  # times that the engines of a role fall silent together
+BETWEEN_SILENT = 0.6  # s between two of these
 
 
 class Kind(Enum):
@@ -40,13 +43,18 @@
     DISCOVERY_SILENT = "discovery: silent"
     DISCOVERY_SLOW = "discovery: late"
     DISCOVERY_RESET = "discovery: reset"
+    SIGNAL_SERIES = "front: SIGHUP, SIGTERM and SIGHUP within milliseconds, SIGKILL later"
+    STOP_AMID_END = "front: SIGTERM while it is stopped by SIGSTOP for 0.15 s, SIGKILL later"
+    ROLL = "fronts: one after another is told to end"
+    ROLE_SILENT = "engines: four in five of one role silent together, with no error"
+    CROWD = "clients: idle connections fill a front node's descriptors"
     CLIENTS_LEAVE = "clients: close in mid-request or while they wait"
     CLIENTS_BAD = "clients: half requests, nonsense, silence"
 
 
 @dataclass(frozen=True)
 class Trouble:
-    """at and seconds from the start of the run; target: a number, taken modulo what there is."""
+    """One trouble. at and seconds from the start of the run; target: a number, taken modulo what there is."""
 
     kind: Kind
     target: int
@@ -56,14 +64,18 @@
 
 @dataclass(frozen=True)
 class Plan:
+    """One run. longest_deadline: s that a client of the deployment may wait at most."""
+
     seed: int
     seconds: float
     troubles: tuple[Trouble, ...]
+    longest_deadline: float = 3.0
 
     def printed(self) -> str:
         """As JSON, read back by `read`."""
         rows = [{**asdict(trouble), "kind": trouble.kind.name} for trouble in self.troubles]
-        return json.dumps({"seed": self.seed, "seconds": self.seconds, "troubles": rows}, indent=1)
+        said = {"seed": self.seed, "seconds": self.seconds, "longest_deadline": self.longest_deadline}
+        return json.dumps({**said, "troubles": rows}, indent=1)
 
     @property
     def pairs(self) -> set[frozenset[Kind]]:
@@ -86,12 +98,14 @@
             Trouble(Kind[row["kind"]], row["target"], row["at"], row["seconds"])
             for row in said["troubles"]
         ),
+        said.get("longest_deadline", 3.0),
     )
 
 
 def draw(seed: int, seconds: float) -> Plan:
     """Groups of two or three troubles that touch: each begins within TOUCH of a step of an earlier one."""
     random = Random(seed)
+    longest_deadline = random.choice(DEADLINES)
     troubles: list[Trouble] = []
     at = QUIET
     while at < seconds - QUIET:
@@ -104,10 +118,18 @@
                 round(begin, 3),
                 round(random.choice((0.15, 0.4, 1.0, 2.5)) * random.uniform(0.8, 1.2), 3),
             )
-            troubles.append(trouble)
+            troubles += repeated(trouble)
             steps += [trouble.at, trouble.at + trouble.seconds]
         at += random.uniform(0.7, 1.6)
-    return Plan(seed, seconds, tuple(sorted(troubles, key=lambda trouble: trouble.at)))
+    in_time = [trouble for trouble in troubles if trouble.at < seconds]
+    return Plan(seed, seconds, tuple(sorted(in_time, key=lambda trouble: trouble.at)), longest_deadline)
+
+
+def repeated(trouble: Trouble) -> list[Trouble]:
+    """A role that falls silent does so several times; all else comes once."""
+    times = TIMES_SILENT if trouble.kind is Kind.ROLE_SILENT else 1
+    apart = trouble.seconds + BETWEEN_SILENT
+    return [replace(trouble, at=round(trouble.at + number * apart, 3)) for number in range(times)]
 
 
 def shrink(plan: Plan, fails: Callable[[Plan], bool], tries: int) -> Plan:
@@ -115,10 +137,10 @@
     troubles: Sequence[Trouble] = plan.troubles
     place = 0
     while place < len(troubles) and tries > 0:
-        fewer = Plan(plan.seed, plan.seconds, (*troubles[:place], *troubles[place + 1 :]))
+        fewer = replace(plan, troubles=(*troubles[:place], *troubles[place + 1 :]))
         tries -= 1
         if fails(fewer):
             troubles = fewer.troubles
         else:
             place += 1
-    return Plan(plan.seed, plan.seconds, tuple(troubles))
+    return replace(plan, troubles=tuple(troubles))
--- a/heathford/soak/records.py
+++ b/heathford/soak/records.py
@@ -16,6 +16,7 @@
     LAST_BYTE = "it has written the attempt whole"
     DELIVERED = "an engine has read the attempt whole"
     ENGINE_SAID = "an engine has answered the attempt"
+    PASSED_ON = "the attempt's answer has passed the link to the front node"
     GIVEN_UP = "a front node has closed the attempt's connection"
     RELEASED = "an engine has read a release"
     LATE_EVENT = "a client got an event that many seconds after its engine wrote it"
--- a/heathford/soak/relay.py
+++ b/heathford/soak/relay.py
@@ -109,12 +109,13 @@
             data = await reader.read(PIECE)
             if data:
                 came(data)
+            else:
+                ended()
             while Kind.LINK_SILENT in self.troubles or Kind.DISCOVERY_SILENT in self.troubles:
                 await self.changed.wait()
             if Kind.LINK_DELAY in self.troubles or Kind.DISCOVERY_SLOW in self.troubles:
                 await asyncio.sleep(LATE)
             if not data:
-                ended()
                 if writer.can_write_eof():
                     writer.write_eof()
                 return
@@ -123,12 +124,13 @@
                 await writer.drain()
                 self.reset_all()
                 return
+            whole = data
             if Kind.LINK_DRIP in self.troubles:
                 for place in range(min(DRIP_BYTES, len(data))):
                     writer.write(data[place : place + 1])
                     await asyncio.sleep(DRIP_EVERY)
                 data = data[DRIP_BYTES:]
-            left(data)
+            left(whole)
             writer.write(data)
             await writer.drain()
 
--- a/heathford/soak/run.py
+++ b/heathford/soak/run.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass
 from pathlib import Path
 from time import monotonic
@@ -27,17 +28,25 @@
 LAG_TOLD = 0.02  # s
 READY_WITHIN = 30.0  # s
 ENGINE_TROUBLES = (Kind.ENGINE_ERRORS, Kind.ENGINE_FULL, Kind.ENGINE_HANGS)
-FRONT_TROUBLES = frozenset({Kind.TERMINATE, Kind.KILL, Kind.RELOAD, Kind.STOP_SHORT, Kind.STOP_LONG})
+FRONT_TROUBLES = frozenset({
+    Kind.TERMINATE, Kind.KILL, Kind.RELOAD, Kind.STOP_SHORT, Kind.STOP_LONG, Kind.SIGNAL_SERIES,
+    Kind.STOP_AMID_END})
 DISCOVERY_TROUBLES = (Kind.DISCOVERY_SILENT, Kind.DISCOVERY_SLOW, Kind.DISCOVERY_RESET)
 CLIENT_TROUBLES = (Kind.CLIENTS_LEAVE, Kind.CLIENTS_BAD)
+ROLL_EVERY = 0.3  # s between two front nodes that are told to end
+CROWD_SIZE = 300  # connections: more than a front node has descriptors for clients
 WINDOW = 1.5  # s for which a keyed repeat is known
 SEEN_LAST = 1.0  # s after the last trouble until the run is over
 EFFECTS = {"chat": "free", "booking": "single_shot", "order": "guarded"}
 
 
-def soak_settings(fronts: int) -> dict[str, Any]:
+def soak_settings(fronts: int, longest_deadline: float) -> dict[str, Any]:
+    """What front nodes are told. longest_deadline: s."""
     told = settings()
     told["nInstances"] = fronts
+    for category in told["categories"]:
+        category["deadlineNs"] = int(longest_deadline * SECOND)
+        category["objectiveNs"] = int(min(1.0, longest_deadline / 2) * SECOND)
     order = {
         **told["categories"][0],
         "name": "order",
@@ -81,7 +90,7 @@
 
     @property
     def limits(self) -> Limits:
-        told = soak_settings(self.count)
+        told = soak_settings(self.count, self.plan.longest_deadline)
         safety = told["safety"]
         window = safety["fallNs"] / SECOND
         return Limits(
@@ -130,7 +139,7 @@
             FrontProcess(
                 f"n{number}",
                 self.folder,
-                soak_settings(self.count),
+                soak_settings(self.count, self.plan.longest_deadline),
                 addresses,
                 self.shims(number),
                 self.note,
@@ -183,7 +192,9 @@
         self.spawn(self.measure())
         addresses = [front.address for front in self.fronts]
         for number in range(CLIENTS_EACH * self.count):
-            client = SoakClient(number, addresses, self.note, self.client_troubles, self.plan.seed)
+            client = SoakClient(
+                number, addresses, self.note, self.client_troubles, self.plan.seed,
+                self.plan.longest_deadline)
             self.spawn(client.run())
         for trouble in self.plan.troubles:
             self.spawn(self.bring(trouble, begin + trouble.at))
@@ -198,12 +209,20 @@
         front = self.fronts[trouble.target % self.count]
         place = trouble.target % ENGINES
         engine = self.engines[place]
+        if kind is Kind.ROLE_SILENT:
+            await self.silence_role(trouble)
+            return
+        if kind is Kind.ROLL:
+            await self.roll()
+            return
         about_engine = kind.name.startswith(("ENGINE", "LINK")) and kind is not Kind.LINK_BREAKS
         names = {"engine": engine.stand.uid} if about_engine else {"front": front.name}
         if kind in CLIENT_TROUBLES:
             names = {}
         self.note(Record(monotonic(), Seen.TROUBLE, value=seconds, text=kind.name, **names))
-        if kind in FRONT_TROUBLES:
+        if kind is Kind.CROWD:
+            await crowd(front.address.port, seconds)
+        elif kind in FRONT_TROUBLES:
             await front.suffer(kind, seconds)
         elif kind is Kind.ENGINE_DRAINS:
             await self.replace(place)
@@ -223,6 +242,29 @@
         elif kind in CLIENT_TROUBLES:
             await self.hold(self.client_troubles.append, self.client_troubles.remove, kind, seconds)
 
+    async def silence_role(self, trouble: Trouble) -> None:
+        """All but one of the engines of a role, at the same moment."""
+        half = ENGINES // 2
+        first = half * (trouble.target % 2)
+        spared = first + trouble.target // 2 % half
+        engines = [self.engines[place] for place in range(first, first + half) if place != spared]
+        for engine in engines:
+            self.note(Record(
+                monotonic(), Seen.TROUBLE, engine=engine.stand.uid, value=trouble.seconds,
+                text=Kind.LINK_SILENT.name))
+            await engine.relay.begin(Kind.LINK_SILENT)
+        await asyncio.sleep(trouble.seconds)
+        for engine in engines:
+            await engine.relay.end(Kind.LINK_SILENT)
+
+    async def roll(self) -> None:
+        """Each front node is told to end, one after another."""
+        for front in self.fronts:
+            self.note(Record(
+                monotonic(), Seen.TROUBLE, front.name, value=front.to_the_kill, text=Kind.TERMINATE.name))
+            self.spawn(front.suffer(Kind.TERMINATE, 0.0))
+            await asyncio.sleep(ROLL_EVERY)
+
     async def hold(
         self, begin: Callable[[Kind], None], end: Callable[[Kind], None], kind: Kind, seconds: float
     ) -> None:
@@ -286,6 +328,17 @@
         await asyncio.sleep(0)
 
 
+async def crowd(port: int, seconds: float) -> None:
+    """Connections that say nothing, more than a front node keeps."""
+    writers = []
+    for _ in range(CROWD_SIZE):
+        with suppress(OSError):
+            writers.append((await asyncio.open_connection("127.0.0.1", port))[1])
+    await asyncio.sleep(seconds)
+    for writer in writers:
+        writer.transport.abort()
+
+
 class SoakAgent(Agent):
     """Discovery whose whole list is what there is now."""
 
--- a/heathford/soak/stories.py
+++ b/heathford/soak/stories.py
@@ -24,6 +24,7 @@
     outcome: str = ""
     said: float = inf
     closed: float = inf
+    heard: float = inf  # when its answer had passed its link whole
 
     @property
     def ran(self) -> bool:
@@ -40,6 +41,8 @@
             self.delivered, self.prefill = record.time, record.text == "prefill"
         elif record.kind is Seen.ENGINE_SAID:
             self.outcome, self.said = record.text, record.time
+        elif record.kind is Seen.PASSED_ON:
+            self.heard = record.time
         elif record.kind is Seen.GIVEN_UP:
             self.closed = min(self.closed, record.time)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -23,7 +23,8 @@
     return [Record(at, Seen.FIRST_BYTE, "", name, engine),
             Record(at, Seen.LAST_BYTE, "", name, engine, told),
             Record(at, Seen.DELIVERED, "", name, engine, 0.0, role),
-            Record(at + 0.05, Seen.ENGINE_SAID, "", name, engine, 0.0, said)]
+            Record(at + 0.05, Seen.ENGINE_SAID, "", name, engine, 0.0, said),
+            Record(at + 0.05, Seen.PASSED_ON, "", name, engine)]
 
 
 def asked(
@@ -62,6 +63,12 @@
                        *attempt(10.0 + number / 50, "w", "stream", name=f"c{number}")])],
     "5 held": [*WELL_READ, Record(20.0, Seen.MEASURE, "n", value=40, text="30000")],
     "5 held, released late": [*WELL_READ, Record(10.8, Seen.RELEASED, "", "c", "w"), *CLEAN[-1:]],
+    "5 held, behind an attempt that no engine has read": [
+        *WELL_READ, *attempt(10.1, "w", "")[:2], Record(10.2, Seen.TROUBLE, "", "", "w", 2.0, "LINK_UNREAD"),
+        Record(12.0, Seen.RELEASED, "", "c", "w"), *CLEAN[-1:]],
+    "1 one answer, read and lost": [
+        asked(request_class="chat"), *attempt(10.0, "r", "error"),
+        Record(11.0, Seen.LOST, "n", "c", "", 0.0, "reused"), RELEASED, *CLEAN[-1:]],
     "client gone": [asked(), Record(10.01, Seen.LEFT, "n", "c"), *attempt(10.2, "r", "read"),
                     Record(10.3, Seen.RELEASED, "", "c", "r")],
     "deadline told": [asked(budget=1_000.0), *attempt(10.0, "r", "read", told=1_250.0),
@@ -99,6 +106,9 @@
      Record(14.0, Seen.WAITED, "n", value=3.9)],
     [asked(), Record(10.1, Seen.TROUBLE, "n", value=0.1, text="KILL"),
      Record(10.2, Seen.LOST, "n", "c", "", 0.0, "new")],
+    [asked(), Record(10.2, Seen.LOST, "n", "c", "", 0.0, "reused")],
+    [asked(), Record(10.1, Seen.TROUBLE, "n", value=1.0, text="CROWD"),
+     Record(10.2, Seen.LOST, "n", "c", "", 0.0, "new")],
 ])
 def test_what_the_rules_allow_is_no_breach(records: list[Record]) -> None:
     assert judged(records) == set()
