--- a/heathford/soak/relay.py
+++ b/heathford/soak/relay.py
@@ -105,12 +105,19 @@
         ended: Callable[[], None],
         left: Callable[[bytes], None] = lambda data: None,
     ) -> None:
+        read: asyncio.Queue[bytes] = asyncio.Queue()
+        reading = asyncio.create_task(take_in(reader, read, came, ended))
+        try:
+            await self.pass_on(read, writer, left)
+        finally:
+            reading.cancel()
+
+    async def pass_on(
+        self, read: "asyncio.Queue[bytes]", writer: asyncio.StreamWriter, left: Callable[[bytes], None]
+    ) -> None:
+        """What was read, under the troubles that hold then; up to an end."""
         while True:
-            data = await reader.read(PIECE)
-            if data:
-                came(data)
-            else:
-                ended()
+            data = await read.get()
             while Kind.LINK_SILENT in self.troubles or Kind.DISCOVERY_SILENT in self.troubles:
                 await self.changed.wait()
             if Kind.LINK_DELAY in self.troubles or Kind.DISCOVERY_SLOW in self.troubles:
@@ -135,8 +142,29 @@
             await writer.drain()
 
     def close(self) -> None:
+        """End all connections, and listen no longer."""
         if self.server:
             self.server.close()
         self.reset_all()
         for task in list(self.tasks):
             task.cancel()
+
+
+async def take_in(
+    reader: asyncio.StreamReader,
+    read: "asyncio.Queue[bytes]",
+    came: Callable[[bytes], None],
+    ended: Callable[[], None],
+) -> None:
+    """Read and note what comes, and the end, at once: whatever trouble holds back what came before."""
+    data = b"-"
+    while data:
+        try:
+            data = await reader.read(PIECE)
+        except OSError:
+            data = b""
+        if data:
+            came(data)
+        else:
+            ended()
+        read.put_nowait(data)
