--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -16,7 +16,7 @@
 from heathford.core.doors import Call, Cancellable, Endpoint, Link, Loop, Sink
 from heathford.core.gate import (
     NOT_LISTED, Attempt, Event, Gate, Reason, RequestLife, Rule, Stage, Target)
-from heathford.core.held_state import HeldStage, HeldState, HeldStatistics, ReleaseReason
+from heathford.core.held_state import HeldStage, HeldState, HeldStatistics, ReleaseReason, SignOfLife
 from heathford.core.history import History
 from heathford.interface import (
     ANSWERED, NEVER_RAN, Handle, Health, Kind, Role, Verdict, Workload)
@@ -130,9 +130,11 @@
         """Learn whether the engine of this attempt runs: its state is being released, so it has answered
         nothing yet."""
         core = self.taken.core
-        if self.over or self.streaming or not self.call or core.link.heard_at(self.endpoint) > self.sent:
+        if self.over or self.streaming or not self.call:
+            return
+        if core.link.heard_at(self.endpoint) > self.sent:
+            self.record("look for life", SignOfLife.HEARD_SINCE.value)
             return
-        self.record("look for life")
         core.link.ask_for_life(self.endpoint, self.name, SILENT_AFTER, self.life_told)
 
     def life_told(self, alive: bool) -> None:
@@ -141,7 +143,7 @@
             return
         core = self.taken.core
         alive = alive or core.link.heard_at(self.endpoint) > self.sent
-        self.record("engine answers" if alive else "engine silent")
+        self.record("look for life", (SignOfLife.ANSWERS if alive else SignOfLife.SILENT).value)
         if not alive:
             core.tell(self.taken, lambda handle: handle.engine_silent(self.seq))
 
--- a/heathford/core/held_state.py
+++ b/heathford/core/held_state.py
@@ -33,6 +33,14 @@
     DECISION_FAILED = "the request's decision failed"
 
 
+class SignOfLife(Enum):
+    """What is known of the engine of an attempt whose state is being released."""
+
+    HEARD_SINCE = "its engine was heard since"
+    ANSWERS = "its engine answers"
+    SILENT = "its engine is silent"
+
+
 class HeldStatistics:
     """Counts over all requests of a process. longest: s for which a state was held since last told."""
 
