--- a/heathford/soak/oracle.py
+++ b/heathford/soak/oracle.py
@@ -153,6 +153,7 @@
             if (
                 not excused
                 and story.left == inf
+                and self.stopped(story.front, story.asked, cut.time) <= HELD_UP + OWN_SLACK
                 and not self.within(story.asked, cut.time, story.front, *engines, kinds=BREAK_STREAMS)
             ):
                 self.breach("1 one answer", cut.time, name, "a stream was cut without any trouble")
