--- a/heathford/cli/main.py
+++ b/heathford/cli/main.py
@@ -241,7 +241,7 @@
 
 
 @soak.command("faults")
-@click.option("--seeds", default="1..1", show_default=True, help="From and to, as 1..20.")
+@click.option("--seeds", default="1..1", show_default=True, help="From and to, or a list: 1..20, 3,8,11.")
 @click.option("--seconds", type=float, default=20.0, show_default=True, help="Of each seed.")
 @click.option("--fronts", type=click.IntRange(1, 40), default=10, show_default=True)
 @click.option("--report", type=click.Path(path_type=Path), required=True,
@@ -260,10 +260,12 @@
         outcome = play(read(replay.read_text()), fronts, report)
         tell_outcome(outcome, click.echo)
         sys.exit(bool(outcome.breaches))
-    first, dots, last = seeds.partition("..")
-    if not (first.isdigit() and (last if dots else first).isdigit()):
-        raise click.BadParameter("allowed is A..B", param_hint="--seeds")
-    numbers = range(int(first), int(last or first) + 1)
+    numbers: list[int] = []
+    for part in seeds.split(","):
+        first, dots, last = part.partition("..")
+        if not (first.isdigit() and (last if dots else first).isdigit()):
+            raise click.BadParameter("allowed are A..B and A,B,C", param_hint="--seeds")
+        numbers += range(int(first), int(last or first) + 1)
     sys.exit(bool(soak_seeds(numbers, seconds, fronts, report, shrinks, click.echo)))
 
 
--- a/heathford/policy/held_state.py
+++ b/heathford/policy/held_state.py
@@ -64,5 +64,5 @@
             if now >= holder.release_at - EARLY:
                 self.remove(holder)
                 holder.let_go()
-            else:
-                self.expect(holder.release_at, now)
+        if self.holders:
+            self.expect(min(holder.release_at for holder in self.holders), now)
--- a/heathford/soak/relay.py
+++ b/heathford/soak/relay.py
@@ -37,7 +37,7 @@
         self.port = 0
         self.troubles: list[Kind] = []
         self.changed = asyncio.Event()
-        self.open: dict[asyncio.StreamWriter, None] = {}
+        self.open: dict[asyncio.StreamWriter, Watcher] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def listen(self) -> None:
@@ -61,15 +61,15 @@
         changed.set()
 
     def reset_all(self) -> None:
-        for writer in list(self.open):
+        for writer, watcher in list(self.open.items()):
+            watcher.closed()  # from now on, not from when the other task reads the end
             writer.transport.abort()
 
     async def relay(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         task = asyncio.current_task()
         assert task
         self.tasks.add(task)
-        self.open[writer] = None
-        watcher = self.watcher()
+        self.open[writer] = watcher = self.watcher()
         far_writer: asyncio.StreamWriter | None = None
         try:
             if Kind.LINK_UNREAD in self.troubles:
@@ -80,7 +80,7 @@
             while Kind.LINK_UNREAD in self.troubles:
                 await self.changed.wait()
             far_reader, far_writer = await asyncio.open_connection(*self.to())
-            self.open[far_writer] = None
+            self.open[far_writer] = watcher
             with suppress(RuntimeError):
                 writer.transport.resume_reading()  # type: ignore[attr-defined]
             await asyncio.gather(
--- a/tests/engine_processes.py
+++ b/tests/engine_processes.py
@@ -18,6 +18,7 @@
 NEVER_ACCEPTS = LISTENS + """
     signal.pause()
 """
+FULL_QUEUE = NEVER_ACCEPTS.replace("backlog=128", "backlog=0")  # one connection fits in, no more
 SWALLOWS = LISTENS + """
     held = []
     while True:
--- a/tests/test_held_state_processes.py
+++ b/tests/test_held_state_processes.py
@@ -15,7 +15,7 @@
 import orjson
 import pytest
 import structlog
-from engine_processes import NEVER_ACCEPTS, READS_AND_STOPS, SWALLOWS, EngineProcess
+from engine_processes import FULL_QUEUE, NEVER_ACCEPTS, READS_AND_STOPS, SWALLOWS, EngineProcess
 from raw_peers import request
 
 from heathford.platform.process import tell_unhandled
@@ -94,10 +94,11 @@
 
 
 def test_a_state_behind_silent_decode_engines_is_released_in_time(tmp_path: Path) -> None:
-    """Three decode engines fall silent at once; requests of both effects are on their way there."""
+    """Three decode engines fall silent at once, one with a full accept queue; requests of both effects are on
+    their way there."""
     async def day() -> None:
         prefill = Prefill("r")
-        scripts = (NEVER_ACCEPTS, NEVER_ACCEPTS, SWALLOWS)
+        scripts = (NEVER_ACCEPTS, FULL_QUEUE, SWALLOWS)
         silent = [EngineProcess(f"w{number}", "m1", script) for number, script in enumerate(scripts)]
         async with fleet(tmp_path, prefill, *silent) as made:
             for engine in silent[:2]:
--- /dev/null
+++ b/tests/test_release_schedule.py
@@ -0,0 +1,82 @@
+"""When another engine is asked to release a state, and when a state is due although its attempt is out."""
+
+from math import inf
+
+import pytest
+
+from heathford.interface import HELD_ALLOWANCE, HELD_UP
+from heathford.platform.release_schedule import ASKED_MOST, REFUSED_MOST, SPACING, ReleaseSchedule
+from heathford.policy.held_state import RELEASE_TAKES, HandedOver, release_due
+
+LIMIT = 0.3  # s
+
+
+def times_asked(limit: float) -> list[float]:
+    """When engines are asked of which none says anything."""
+    now, times = 10.0, list[float]()
+    schedule = ReleaseSchedule(now, limit)
+    while (wait := schedule.next_in(now)) is not None:
+        now += wait
+        schedule.was_asked(now)
+        times.append(round(now - 10.0, 6))
+    return times
+
+
+@pytest.mark.parametrize("limit", [0.06, 0.3, 1.0])
+def test_silent_engines_are_asked_one_after_another_in_the_time_of_a_release(limit: float) -> None:
+    times = times_asked(limit)
+    spacing = min(SPACING, limit / ASKED_MOST)
+    assert times == pytest.approx([place * spacing for place in range(ASKED_MOST)])
+    assert times[2] <= RELEASE_TAKES
+
+
+def test_nobody_is_asked_once_the_time_is_over() -> None:
+    schedule = ReleaseSchedule(10.0, LIMIT)
+    schedule.was_asked(10.0)
+    assert schedule.next_in(10.0 + LIMIT) is None
+
+
+def test_one_that_refuses_counts_as_not_asked_and_the_next_is_asked_at_once() -> None:
+    schedule = ReleaseSchedule(10.0, LIMIT)
+    for _ in range(REFUSED_MOST):
+        schedule.was_asked(10.0)
+        schedule.was_refused(10.0)
+        assert schedule.next_in(10.0) == 0.0
+    schedule.was_asked(10.0)
+    schedule.was_refused(10.0)
+    assert schedule.next_in(10.0) == pytest.approx(SPACING)
+
+
+@pytest.mark.parametrize("limit", [0.05, 0.3, 0.5, 2.0])
+def test_a_state_is_due_in_time_for_a_hold_up_and_its_release(limit: float) -> None:
+    due = release_due(10.0, limit)
+    assert due >= 10.0
+    assert due + RELEASE_TAKES + HELD_UP <= 10.0 + limit + HELD_ALLOWANCE + 1e-9
+
+
+class Held:
+    """A completion whose state waits behind an attempt."""
+
+    def __init__(self, release_at: float) -> None:
+        self.release_at, self.released = release_at, False
+
+    def let_go(self) -> None:
+        self.released = True
+
+
+def test_one_timer_is_out_for_the_state_that_is_due_first() -> None:
+    wakes = list[float]()
+    states = HandedOver(wakes.append)
+    first, second, gone = Held(10.3), Held(10.4), Held(10.2)
+    for held in (second, first, gone):
+        states.add(held, 10.0)
+    assert wakes == pytest.approx([0.4, 0.3, 0.2])
+    states.remove(gone)
+    states.release_due_ones(10.1)
+    assert len(wakes) == 3
+    states.release_due_ones(10.2)
+    assert not gone.released and wakes[3:] == pytest.approx([0.1])
+    states.release_due_ones(10.2995)  # timers may be a little early
+    assert first.released and not second.released and wakes[4:] == pytest.approx([0.1005])
+    states.release_due_ones(11.0)
+    assert second.released and states.next_due == inf and len(wakes) == 5
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -121,6 +121,13 @@
     assert plan.pairs and all(0.0 < trouble.at < 25.0 for trouble in plan.troubles)
 
 
+def test_a_role_falls_silent_several_times_and_deadlines_are_drawn() -> None:
+    plans = [draw(seed, 20.0) for seed in range(40)]
+    assert {plan.longest_deadline for plan in plans} == {0.4, 1.0, 3.0}
+    silences = [[t for t in plan.troubles if t.kind is Kind.ROLE_SILENT] for plan in plans]
+    assert any(len({t.target for t in some}) == 1 and len(some) == 3 for some in silences)
+
+
 def test_troubles_that_touch_are_pairs() -> None:
     troubles = (Trouble(Kind.KILL, 0, 1.0, 0.5), Trouble(Kind.RELOAD, 0, 1.5 + TOUCH / 2, 0.1),
                 Trouble(Kind.CLOCK, 0, 3.0, 0.1))
