Attempts behind a release that nobody confirms end with their time; such a release is said again

Now it ends as never sent when its time is over. A release that failed is said again after 0.5, 1, 2 and 4 s unless another attempt has begun: its state would stay for good.

--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -24,6 +24,8 @@
 SILENCE = 4.0  # s without an event after which a stream is held for dead: clients may be kept waiting for 5
 PREFILL_ANSWER = 0.1  # s in which a prefill engine's answer comes whole once it has begun: some 100 bytes
 OVERTAKEN = 0.1  # s after a release that may have overtaken the read it is for until it is said once more
+FAILED_AGAIN = 0.5  # s after a release that nobody confirmed until it is said again; then twice as long
+FAILED_AGAIN_MOST = 4.0  # s of these: in all they outlast a cut of several seconds
 UNCLEAR = frozenset({Verdict.CANCELLED, Verdict.TIMED_OUT, Verdict.BROKEN})  # ends of a read that may go on
 
 log = structlog.get_logger()
@@ -54,6 +56,10 @@
             return
         self.connect(self.encoded, min(left, self.link.connect_timeout))
 
+    def wait_for_release(self) -> None:
+        """Guards against an attempt that waits past its time behind a release which nobody confirms."""
+        self.expect(max(0.0, self.until - self.loop.time()), self.withdraw)
+
     def begin(self, connection: EngineConnection, data: Callable[[], bytes]) -> None:
         if not self.events.wanted():
             self.link.give_back(connection)
@@ -191,31 +197,47 @@
             # Guards against a DELETE that comes after the dispatch it was sent before: it names the
             # completion, and would take the state from that one. Costs the wait for its answer.
             self.releases[name].waiting.append(call)
+            call.wait_for_release()
         else:
             self.loop.call_soon(call.start)
         return call
 
-    def release(self, endpoint: Endpoint, name: str, events: ReleaseEvents) -> None:
+    def release(
+        self, endpoint: Endpoint, name: str, events: ReleaseEvents, again_after: float = FAILED_AGAIN
+    ) -> None:
+        """again_after: s after which it is said once more where no engine confirms it."""
         if name in self.releases:
             self.releases[name].listeners.append(events)
         else:
             self.releases[name] = StateRelease(self, endpoint, name, events)
-            self.tasks.spawn(self.run_release(endpoint, name, events))
+            self.tasks.spawn(self.run_release(endpoint, name, events, again_after))
 
-    async def run_release(self, holder: Endpoint, name: str, events: ReleaseEvents) -> None:
+    async def run_release(
+        self, holder: Endpoint, name: str, events: ReleaseEvents, again_after: float
+    ) -> None:
         release = self.releases[name]
         try:
             if not await release.run():
                 self.unreleased += 1
                 release.told_failed()
+                if again_after <= FAILED_AGAIN_MOST and not release.waiting:
+                    self.say_again(again_after, holder, name, events, 2 * again_after)
             elif name in self.unclear and not release.waiting:
-                self.again[name] = self.loop.call_later(OVERTAKEN, self.release_again, holder, name, events)
+                self.say_again(OVERTAKEN, holder, name, events, FAILED_AGAIN)
         finally:
             self.unclear.pop(name, None)
             del self.releases[name]
             for call in release.waiting:
                 call.start()
 
+    def say_again(
+        self, after: float, holder: Endpoint, name: str, events: ReleaseEvents, then_after: float
+    ) -> None:
+        if name in self.again:
+            self.again[name].cancel()
+        self.again[name] = self.loop.call_later(
+            after, self.release_again, holder, name, events, then_after)
+
     def heard_at(self, endpoint: Endpoint) -> float:
         """When anything came from that engine last, while a connection to it has stood."""
         return self.pools.pool(endpoint.address, endpoint.port).heard_at
@@ -227,12 +249,15 @@
         call = ReleaseCall(self, endpoint, name, within)
         call.status.add_done_callback(lambda status: told(status.result() != NO_ANSWER))
 
-    def release_again(self, endpoint: Endpoint, name: str, events: ReleaseEvents) -> None:
+    def release_again(
+        self, endpoint: Endpoint, name: str, events: ReleaseEvents, again_after: float
+    ) -> None:
         """Guards against a release that is read, on another connection, before the prefill that was given up
-        ends well: what that left would stay. Not where another attempt has begun: it names the request, and
-        would take what that leaves. Costs one call for each prefill given up."""
+        ends well, and against one that nobody confirmed: what is left would stay. Not where another attempt
+        has begun: it names the request, and would take what that leaves. Costs one call for each prefill
+        given up."""
         del self.again[name]
-        self.release(endpoint, name, events)
+        self.release(endpoint, name, events, again_after)
 
     def give_back(self, connection: EngineConnection) -> None:
         if connection.closed() or self.stopped:
--- a/heathford/soak/front.py
+++ b/heathford/soak/front.py
@@ -78,6 +78,7 @@
         self.reading: asyncio.Task[None] | None = None
         self.ends = False  # it was told to end, or killed
         self.over = False  # the run is
+        self.violations_told = 0  # by this process, a line each
         self.busy = asyncio.Lock()
 
     def configure(self) -> None:
@@ -94,6 +95,7 @@
 
     async def start(self) -> None:
         self.ends = False
+        self.violations_told = 0
         self.configure()
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -138,8 +140,12 @@
             return
         if said.get("event") == "ready":
             self.address.ready = True
-        if said.get("event") == "state" and said.get("violations"):
-            self.say(Seen.LOG, text=f"violations counted: {said['violations']}")
+        if said.get("event") == "rule violated":
+            self.violations_told += 1
+        counted = sum(said.get("violations", {}).values()) if said.get("event") == "state" else 0
+        if counted > self.violations_told:
+            self.violations_told = counted
+            self.say(Seen.LOG, text=f"violations counted, and not all told: {said['violations']}")
         if said.get("level") in WRONG and said.get("event") not in EXPECTED:
             self.say(Seen.LOG, text=line.decode()[:2_000].strip())
 
--- a/tests/test_state_held.py
+++ b/tests/test_state_held.py
@@ -327,3 +327,28 @@
     i.loop.pass_time(LIMIT + ALLOWANCE - 0.09)
     assert no_violations == ["HELD: cmpl-f-1: held for 0.600 s, releasing"]
     no_violations.clear()
+
+
+def test_an_attempt_behind_a_release_that_nobody_confirms_ends_with_its_time(tmp_path: Path) -> None:
+    """Seen in the soak, eight of ten engines silent: it was answered by the last resort, as late."""
+    async def day(play: Day) -> None:
+        client = play.client()
+        client.say(request("c0", budget=500))
+        await play.engines[0].asked()
+        began = time.monotonic()
+        assert await client.until(1) == [503]
+        assert time.monotonic() - began < 0.5
+        assert play.node.core.tally.late == 0
+    run_day(tmp_path, day)
+
+
+def test_a_release_that_nobody_confirms_is_said_again_later(tmp_path: Path) -> None:
+    async def day(play: Day) -> None:
+        reader = play.engines[0]
+        heard = ReleaseHeard()
+        play.node.link.release(play.node.instances.listed(0)[0][0], "c0", heard)
+        await until(lambda: "failed" in heard.told, "the end of the first")
+        asked = reader.deletes
+        await until(lambda: reader.deletes > asked, "another")
+        assert play.node.link.unreleased == 1
+    run_day(tmp_path, day)
