The soak counts a hold-up of 0.15 s as such, and no longer

The oracle excused short stops for the time that the plan drew (up to 3 s), not for the 0.15 s that they last: both mended.

--- a/heathford/soak/oracle.py
+++ b/heathford/soak/oracle.py
@@ -20,7 +20,7 @@
 TROUBLE_BEFORE = 4.0  # s before a time in which a trouble may still be felt there
 REFUSED = (429, 503)
 JUDGED_BY_RECORDS = ("overdue", '"HELD"', "'HELD'")
-STOPS = (Kind.STOP_SHORT, Kind.STOP_LONG)
+STOPS = (Kind.STOP_SHORT, Kind.STOP_AMID_END, Kind.STOP_LONG)  # all but the last for HELD_UP at most
 BREAK_STREAMS = (  # troubles that end a stream: its connections break, or its engine says nothing or ends
     Kind.LINK_RESET, Kind.LINK_CUT, Kind.LINK_REFUSED, Kind.LINK_SILENT, Kind.LINK_UNREAD, Kind.LINK_BREAKS,
     Kind.ENGINE_DRAINS)
@@ -96,11 +96,14 @@
 
     def stopped(self, front: str, since: float, until: float) -> float:
         """s of that time for which the front node was stopped."""
-        return sum(
-            max(0.0, min(until, t.time + t.value) - max(since, t.time))
-            for t in self.troubles
-            if t.front == front and t.text in {kind.name for kind in STOPS}
-        )
+        names = {kind.name for kind in STOPS}
+        seconds = 0.0
+        for trouble in self.troubles:
+            if trouble.front == front and trouble.text in names:
+                long = trouble.text == Kind.STOP_LONG.name
+                end = trouble.time + (trouble.value if long else min(trouble.value, HELD_UP))
+                seconds += max(0.0, min(until, end) - max(since, trouble.time))
+        return seconds
 
     def killed(self, front: str, since: float, until: float) -> bool:
         return any(
