--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -88,8 +88,8 @@
         if self.over or self.streaming:
             return
         self.streaming = True
-        if self.taken.state_at and self.taken.state_at.held:
-            self.taken.state_at.held.end(HeldStage.TAKEN)
+        if self.taken.held:
+            self.taken.held.end(HeldStage.TAKEN)
         if self.taken.life.stage is Stage.SENT:  # else its client has just been answered or has left
             self.taken.core.gate.step(self.taken.life, Event.FIRST_EVENT)
         self.record("first event")
@@ -170,13 +170,13 @@
         self.record("ended", verdict.value)
         now = core.loop.time()
         latency = now - self.sent
-        if verdict in ANSWERED and taken.state_at and taken.state_at.held:
-            taken.state_at.held.since = now  # the limit counts anew from what an engine itself has told
+        if verdict in ANSWERED and taken.held:
+            taken.held.since = now  # the limit counts anew from what an engine itself has told
         if taken.out is self:
             taken.out = None
         if verdict is Verdict.READ:
             taken.kv, taken.state_at, taken.read_at = answer["kv"], self, now
-            self.hold_state()
+            taken.held = self.hold_state()
             if taken.abandoned:
                 taken.release(ReleaseReason.REQUEST_OVER)
         elif self.reading and verdict not in NEVER_RAN:
@@ -210,6 +210,7 @@
         self.out: Dispatch | None = None
         self.kv: Mapping[str, Any] | None = None
         self.state_at: Dispatch | None = None  # the reading dispatch that left the state
+        self.held: HeldState | None = None  # of the last one that did, also while it is being released
         self.read_at: float = 0.0  # s on the loop's clock at which the state was left
         self.over: bool = False  # final answer given, or the client has gone
         self.abandoned: bool = False  # its decision failed: nothing more is asked of its handle
@@ -550,6 +551,6 @@
     def told_of_held(self) -> dict[str, float]:
         """For the state line: states that are held, and how those that were have ended."""
         now = self.loop.time()
-        open_states = [t.state_at.held for t in self.live if t.state_at and t.state_at.held]
+        open_states = [t.held for t in self.live if t.held]
         return self.held_statistics.told(
             max((now - held.begun_at for held in open_states if held.open), default=0.0))
--- a/tests/test_state_held.py
+++ b/tests/test_state_held.py
@@ -352,3 +352,15 @@
         await until(lambda: reader.deletes > asked, "another")
         assert play.node.link.unreleased == 1
     run_day(tmp_path, day)
+
+
+def test_a_state_counts_as_taken_once_its_attempt_streams_though_nobody_confirmed_the_release(
+    instance: Callable[..., Instance]
+) -> None:
+    """The fixture sees no broken rule."""
+    i = behind_attempt(instance, Effect.IDEMPOTENT)
+    i.link.confirms = False
+    i.loop.pass_time(DUE + 0.01)
+    i.link.out[1].events.first_token()
+    i.loop.pass_time(1.0)
+    assert i.core.told_of_held()["taken"] == 1
