--- a/benchmarks/unguarded_front.py
+++ b/benchmarks/unguarded_front.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from heathford.cli.main import cli
-from heathford.core import core
+from heathford.core import taken
 from heathford.engines import link
 from heathford.front import memory
 from heathford.identity import identities
@@ -18,30 +18,30 @@
 
 
 def answers_twice() -> None:
-    true = core.Taken.finish
+    true = taken.Taken.finish
 
-    def finish(self: core.Taken, reason: str, usage: Any) -> None:
+    def finish(self: taken.Taken, reason: str, usage: Any) -> None:
         true(self, reason, usage)
         self.sink.aborted("seeded")
-    core.Taken.finish = finish  # type: ignore[method-assign]
+    taken.Taken.finish = finish  # type: ignore[method-assign]
 
 
 def never_gives_up() -> None:
     router.LAST_CALL = -1e9
     Router.has_taker = lambda self, completion, now: True  # type: ignore[method-assign]
-    core.Taken.overdue = lambda self: None  # type: ignore[method-assign]
+    taken.Taken.overdue = lambda self: None  # type: ignore[method-assign]
 
 
 def sends_beside() -> None:
     """A second dispatch at once, as a hedge would be."""
-    true = core.Taken.send
+    true = taken.Taken.send
 
-    def send(self: core.Taken, engine: int, timeout: float) -> None:
+    def send(self: taken.Taken, engine: int, timeout: float) -> None:
         true(self, engine, timeout)
         out = self.out
         if out and not out.reading and len(self.dispatches) == 2:
             true(self, engine, timeout)
-    core.Taken.send = send  # type: ignore[method-assign]
+    taken.Taken.send = send  # type: ignore[method-assign]
 
 
 def forgets_effects() -> None:
--- /dev/null
+++ b/heathford/core/dispatch.py
@@ -0,0 +1,165 @@
+"""One attempt at one engine, as its link tells of it, and what a prefill attempt leaves."""
+
+from collections.abc import Mapping
+from math import inf
+from typing import TYPE_CHECKING, Any
+
+from heathford.core.doors import Call, Cancellable, Endpoint
+from heathford.core.gate import Attempt, Event, Reason, Stage
+from heathford.core.held_state import HeldStage, HeldState, ReleaseReason, SignOfLife
+from heathford.interface import ANSWERED, NEVER_RAN, Role, Verdict
+from heathford.policy.held_state import SILENT_AFTER
+
+if TYPE_CHECKING:
+    from heathford.core.taken import Taken
+
+
+class Dispatch:
+    """One dispatch, as its link tells of it."""
+
+    def __init__(self, taken: "Taken", seq: int, endpoint: Endpoint, now: float) -> None:
+        self.taken, self.seq, self.endpoint, self.sent = taken, seq, endpoint, now
+        self.name = taken.name if taken.one_name else f"{taken.name}.{seq}"
+        self.reading = endpoint.role is Role.READER
+        self.streaming = self.over = False
+        self.arrival: Cancellable | None = None  # the look whether it has arrived
+        self.call: Call | None = None
+        self.held: HeldState | None = None  # what this prefill attempt has left
+        self.attempt = Attempt(taken.core.target(endpoint.number), self.reading, now)
+        taken.life.attempts.append(self.attempt)
+
+    def record(self, event: str, reason: str = "", engine: str = "") -> None:
+        self.taken.core.history.add(self.taken.name, event, reason, self.seq, engine or self.endpoint.name)
+
+    def wanted(self) -> bool:
+        """Guards against an attempt that begins once its client has gone: the end of its connection may lie
+        unread behind what it sent ahead, or behind what the loop is busy with. Also against one whose engine
+        has begun to drain, or whose window has ended, while it waited for its connection or a release."""
+        core, taken = self.taken.core, self.taken
+        if self.over or taken.over:
+            return False
+        waits = taken.sink.still_waits()  # which may end it
+        if self.over or taken.over:
+            return False
+        reason = core.gate.may_send(
+            taken.life, self.attempt, core.target(self.endpoint.number), waits, core.loop.time())
+        if reason is not Reason.ALLOWED:
+            self.record("not sent", reason.value)
+            return False
+        core.gate.step(taken.life, Event.SENT)
+        self.record("sent")
+        return True
+
+    def answer_begun(self) -> None:
+        """The limit counts from the first byte that its prefill engine has answered."""
+        if not self.over:
+            self.record("answer begins")
+            self.hold_state()
+
+    def first_token(self) -> None:
+        if self.over or self.streaming:
+            return
+        self.streaming = True
+        if self.taken.held:
+            self.taken.held.end(HeldStage.TAKEN)
+        if self.taken.life.stage is Stage.SENT:  # else its client has just been answered or has left
+            self.taken.core.gate.step(self.taken.life, Event.FIRST_EVENT)
+        self.record("first event")
+        core, taken = self.taken.core, self.taken
+        latency = core.loop.time() - self.sent
+        if taken.timer:
+            taken.timer.cancel()
+        taken.body = None  # nothing is sent again from now on: kept while answers stream, prompts fill memory
+        if core.stream_limit < inf:
+            taken.timer = core.loop.call_at(core.loop.time() + core.stream_limit, taken.stream_too_long)
+        core.tell(taken, lambda handle: handle.first_token(self.seq, latency))
+
+    def hold_state(self) -> HeldState:
+        """Follow what this prefill attempt has left, or may have left."""
+        if not self.held:
+            core = self.taken.core
+            self.held = HeldState(core.loop.time(), core.loop.time, self.record, core.held_statistics)
+            self.expect_end_of_hold(self.held)
+        return self.held
+
+    def expect_end_of_hold(self, held: HeldState) -> None:
+        core = self.taken.core
+        held.check = core.loop.call_at(core.gate.held_until(held.since, core.pin_limit), self.check_held)
+
+    def check_held(self) -> None:
+        """Guards against a state that stays held unseen: looked at when its limit is over, by what engines
+        have told, not by what was sent."""
+        held, core = self.held, self.taken.core
+        if not held or not held.open:
+            return
+        now = core.loop.time()
+        if now < core.gate.held_until(held.since, core.pin_limit):
+            self.expect_end_of_hold(held)
+        else:
+            core.gate.held_too_long(self.taken.name, now - held.since, held.stage.value)
+
+    def look_for_life(self) -> None:
+        """Learn whether the engine of this attempt runs: its state is being released, so it has answered
+        nothing yet."""
+        core = self.taken.core
+        if self.over or self.streaming or not self.call:
+            return
+        if core.link.heard_at(self.endpoint) > self.sent:
+            self.record("look for life", SignOfLife.HEARD_SINCE.value)
+            return
+        core.link.ask_for_life(self.endpoint, self.name, SILENT_AFTER, self.life_told)
+
+    def life_told(self, alive: bool) -> None:
+        """What came of it."""
+        if self.over or self.streaming:
+            return
+        core = self.taken.core
+        alive = alive or core.link.heard_at(self.endpoint) > self.sent
+        self.record("look for life", (SignOfLife.ANSWERS if alive else SignOfLife.SILENT).value)
+        if not alive:
+            core.tell(self.taken, lambda handle: handle.engine_silent(self.seq))
+
+    def look_for_arrival(self) -> None:
+        """Guards against a state that is held behind an attempt which reaches nobody: it stops no clock."""
+        if self.call and not self.over and not self.streaming:
+            self.record("look for arrival", self.call.give_up_unless_arrived().name)
+
+    def tokens(self, part: Any) -> None:
+        if self.streaming and not self.over and not self.taken.over:
+            self.taken.sink.tokens(part)
+
+    def ended(
+        self, verdict: Verdict, detail: int, load: Mapping[str, float], answer: Mapping[str, Any]
+    ) -> None:
+        if self.over:
+            return
+        self.over = True
+        if self.arrival:
+            self.arrival.cancel()
+        taken, core = self.taken, self.taken.core
+        self.attempt.verdict = verdict
+        core.gate.step(taken.life, Event.ENDED)
+        self.record("ended", verdict.value)
+        now = core.loop.time()
+        latency = now - self.sent
+        if verdict in ANSWERED and taken.held:
+            taken.held.since = now  # the limit counts anew from what an engine itself has told
+        if taken.out is self:
+            taken.out = None
+        if verdict is Verdict.READ:
+            taken.kv, taken.state_at, taken.read_at = answer["kv"], self, now
+            taken.held = self.hold_state()
+            if taken.abandoned:
+                taken.release(ReleaseReason.REQUEST_OVER)
+        elif self.reading and verdict not in NEVER_RAN:
+            # Guards against a read that ends unseen: its state may wait at the reader though we were never
+            # told of it, and only its name lets it go. Harms nothing where there is none.
+            taken.let_go(self, ReleaseReason.PREFILL_UNCLEAR)
+        elif self.held:
+            self.held.end(HeldStage.NEVER_HELD)
+        if verdict is Verdict.FINISHED:
+            taken.finish(answer.get("reason") or "stop", answer.get("usage") or {})
+        elif self.streaming:
+            taken.abort(f"the stream ended early: {verdict.value}")
+        closed = taken.over
+        core.tell(taken, lambda handle: handle.ended(self.seq, verdict, latency, closed, detail, load))
--- /dev/null
+++ b/heathford/core/taken.py
@@ -0,0 +1,169 @@
+"""One request that a front handed over, until its one final answer and the end of its last attempt."""
+
+from collections.abc import Mapping
+from typing import TYPE_CHECKING, Any
+
+import structlog
+
+from heathford.core.dispatch import Dispatch
+from heathford.core.doors import Cancellable, Sink
+from heathford.core.gate import Event, Reason, RequestLife
+from heathford.core.held_state import HeldState, ReleaseReason
+from heathford.interface import Verdict, Workload
+from heathford.policy import Completion
+
+if TYPE_CHECKING:
+    from heathford.core.core import Core
+
+log = structlog.get_logger()
+
+
+class Taken:
+    """A completion that a front handed over, until its final answer and the end of its last dispatch."""
+
+    def __init__(
+        self, core: "Core", sink: Sink, name: str, one_name: bool, body: Any, mark: str, due: float,
+        workload: Workload,
+    ) -> None:
+        self.core, self.sink, self.name, self.body, self.mark = core, sink, name, body, mark
+        self.life = RequestLife(name, workload)
+        core.history.add(name, "taken")
+        self.due = due
+        self.one_name: bool = one_name  # one_name: its dispatches are all called as itself
+        self.handle: Completion | None = None
+        self.dispatches: list[Dispatch] = []
+        self.out: Dispatch | None = None
+        self.kv: Mapping[str, Any] | None = None
+        self.state_at: Dispatch | None = None  # the reading dispatch that left the state
+        self.held: HeldState | None = None  # of the last one that did, also while it is being released
+        self.read_at: float = 0.0  # s on the loop's clock at which the state was left
+        self.over: bool = False  # final answer given, or the client has gone
+        self.abandoned: bool = False  # its decision failed: nothing more is asked of its handle
+        self.timer: Cancellable | None = core.loop.call_at(due + core.answer_margin / 2, self.overdue)
+
+    # What the Router asks for: heathford.interface.CompletionDoor.
+
+    def send(self, engine: int, timeout: float) -> None:
+        core = self.core
+        dispatch = Dispatch(self, len(self.dispatches), core.endpoints[engine], core.loop.time())
+        self.dispatches.append(dispatch)
+        self.out = dispatch
+        core.gate.step(self.life, Event.HANDED_OVER)
+        dispatch.record("handed over")
+        kv = None if dispatch.reading else self.kv
+        try:
+            dispatch.call = core.link.send(
+                dispatch.endpoint, dispatch.name, self.body, kv, self.mark, timeout, dispatch)
+        except Exception as problem:
+            # Guards against an attempt that never began and counts as out for good. Harms nothing: the link
+            # tells of nothing before it has returned.
+            core.fault(problem, None)
+            dispatch.ended(Verdict.UNSENT, 0, {}, {})
+            return
+        if self.state_at and not dispatch.reading:
+            due = max(self.read_at + core.hold, dispatch.sent + (core.pin_limit - core.hold) / 2)
+            dispatch.arrival = core.loop.call_at(due, dispatch.look_for_arrival)
+
+    def cancel(self, seq: int) -> None:
+        if seq < len(self.dispatches):
+            self.stop(self.dispatches[seq])
+
+    def rate_limit(self, retry_after: float) -> None:
+        if not self.over and self.core.gate.may_answer_refused(self.life) is not Reason.ALLOWED:
+            self.abort("it may have run")
+        elif self.close("rate_limited", self.given_up):
+            self.core.guarded(self.sink, lambda: self.sink.rate_limited(retry_after))
+
+    @property
+    def given_up(self) -> str:
+        """Why the Router has given it up."""
+        why = self.handle.given_up if self.handle else None
+        return why.value if why else ""
+
+    def abort(self, why: str = "given up") -> None:
+        if self.close("aborted", why):
+            self.core.guarded(self.sink, lambda: self.sink.aborted(why))
+
+    def release(self, reason: ReleaseReason = ReleaseReason.POLICY) -> None:
+        if self.state_at:
+            self.let_go(self.state_at, reason)
+            if self.out:
+                self.out.look_for_life()
+        self.kv = self.state_at = None
+
+    # What the front says.
+
+    def leave(self) -> None:
+        """The client has gone: nothing more is owed. A stream that nobody reads ends."""
+        if not self.close("left"):
+            return
+        if self.out and self.out.streaming:
+            self.stop(self.out)
+        elif self.out and self.out.call:
+            # Guards against a dispatch that begins once its client has gone: it may still wait for its
+            # connection, or for a release. Also where running ones may not be cancelled. Harms nothing.
+            self.out.call.withdraw()
+        self.core.tell(self, lambda handle: handle.left())
+
+    # What the core owns.
+
+    def finish(self, reason: str, usage: Mapping[str, Any]) -> None:
+        if self.close("finished"):
+            self.core.guarded(self.sink, lambda: self.sink.finished(reason, usage))
+
+    def let_go(self, dispatch: Dispatch, reason: ReleaseReason) -> None:
+        """Now, before the next dispatch: one that can't connect, or whose bytes reach nobody, stops no clock,
+        and several in a row outlast the pin limit. Where all have one name the link holds what is sent next
+        until the release is through, so that it takes no later state. Costs that dispatch a round trip."""
+        dispatch.record("release", reason.value)
+        held = dispatch.hold_state()
+        held.release_begins()
+        self.core.link.release(dispatch.endpoint, dispatch.name, held)
+
+    def close(self, how: str, why: str = "") -> bool:
+        """True for the first call only: a completion gets one final answer."""
+        if self.over:
+            return False
+        self.over = True
+        self.core.gate.step(self.life, Event.LEFT if how == "left" else Event.ANSWERED)
+        self.core.history.add(self.name, how, why)
+        if self.timer:
+            self.timer.cancel()
+            self.timer = None
+        tally = self.core.tally
+        setattr(tally, how, getattr(tally, how) + 1)
+        self.core.check_gone(self)
+        return True
+
+    def stop(self, dispatch: Dispatch) -> None:
+        if dispatch.call and not dispatch.over:
+            dispatch.call.cancel()
+
+    def overdue(self) -> None:
+        """Guards against a completion that the Router lets run out of time, as after a fault of its own: the
+        client still gets its answer. Could harm if it came before the Router's own, so it waits past that."""
+        self.core.tally.late += 1
+        log.error("overdue", completion=self.name, out=self.out.name if self.out else None)
+        self.abort("out of time")
+        if self.out:
+            self.stop(self.out)  # and the Router hears how it ended: else it counts it as out for good
+        else:
+            self.core.tell(self, lambda handle: handle.left())
+
+    def stream_too_long(self) -> None:
+        self.abort("the stream ran past its limit")
+        if self.out:
+            self.stop(self.out)
+
+    def abandon(self, why: str) -> None:
+        """The Router is asked no more about it; all that is out or held for it is let go."""
+        self.abandoned = True
+        self.abort(why)
+        if self.out:
+            self.stop(self.out)
+        self.release(ReleaseReason.DECISION_FAILED)
+
+    @property
+    def gone(self) -> bool:
+        return self.over and self.out is None and (
+            self.abandoned or self.handle is None or self.handle.settled)
--- a/heathford/identity/shared.py
+++ b/heathford/identity/shared.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Mapping
 from typing import Any
 
-from heathford.core.core import Taken
 from heathford.core.doors import Sink
+from heathford.core.taken import Taken
 
 
 class Shared:
--- a/heathford/platform/asking.py
+++ b/heathford/platform/asking.py
@@ -3,8 +3,9 @@
 import re
 from collections.abc import Mapping
 
-from heathford.core.core import Core, Taken
+from heathford.core.core import Core
 from heathford.core.doors import Sink
+from heathford.core.taken import Taken
 from heathford.wire.http1 import NonsenseError, json_object
 from heathford.wire.requests import Request, RefusedError
 
--- a/heathford/platform/client_connection.py
+++ b/heathford/platform/client_connection.py
@@ -10,8 +10,9 @@
 
 import structlog
 
-from heathford.core.core import Core, Taken
+from heathford.core.core import Core
 from heathford.core.gate import Reason
+from heathford.core.taken import Taken
 from heathford.platform.asking import ask
 from heathford.platform.eviction import Idleness
 from heathford.platform.responses import CLOSING, STREAM, whole
--- a/heathford/platform/client_server.py
+++ b/heathford/platform/client_server.py
@@ -8,7 +8,8 @@
 
 import structlog
 
-from heathford.core.core import Core, Taken
+from heathford.core.core import Core
+from heathford.core.taken import Taken
 from heathford.platform.client_connection import ClientConnection
 from heathford.platform.eviction import EvictionQueues
 from heathford.platform.responses import whole
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,9 +6,10 @@
 
 import pytest
 
-from heathford.core.core import Core, Taken
+from heathford.core.core import Core
 from heathford.core.doors import Arrival, CallEvents, Endpoint, ReleaseEvents
 from heathford.core.gate import Gate, Rule
+from heathford.core.taken import Taken
 from heathford.interface import Effect, Group, Health, Kind, Role, Verdict, Workload
 from heathford.policy import Completion, Router
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -7,7 +7,8 @@
 import pytest
 from conftest import Client, Instance
 
-from heathford.core.core import Dispatch, Taken
+from heathford.core.dispatch import Dispatch
+from heathford.core.taken import Taken
 from heathford.interface import Effect, Health, Verdict
 from heathford.policy import Completion
 
