--- a/heathford/soak/run.py
+++ b/heathford/soak/run.py
@@ -84,9 +84,11 @@
         self.made = 0
         self.draining: set[int] = set()
         self.tasks: list[asyncio.Task[None]] = []
+        self.over = False
 
     def note(self, record: Record) -> None:
-        self.records.append(record)
+        if not self.over:
+            self.records.append(record)
 
     @property
     def limits(self) -> Limits:
@@ -314,6 +316,8 @@
                 front.measure()
 
     async def close(self) -> None:
+        """End all. What is seen from now on is the end's doing, and not noted."""
+        self.over = True
         for task in self.tasks:
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
