--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -19,6 +19,7 @@
 
 IDLE_PART = 0.6  # of the time after which engines close idle connections: one written into then is lost
 RELEASE_PART = 0.05  # of all connections, kept back for releases: without one a state stays held
+FEW_CONNECTIONS = 8  # up to which none is kept back
 SETTLED = 0.01  # s after an answer before a connection is used again: some engines close it then, and a
 # request that crosses the close may have run; ten times the way between zones
 SILENCE = 4.0  # s without an event after which a stream is held for dead: clients may be kept waiting for 5
@@ -31,6 +32,13 @@
 log = structlog.get_logger()
 
 
+def kept_back(connections: int) -> int:
+    """How many of all connections only releases may use: one at least, where there are more than a few."""
+    if connections <= FEW_CONNECTIONS:
+        return 0
+    return max(1, int(connections * RELEASE_PART))
+
+
 class EngineCall(Exchange):
     """One dispatch. Ends once, with the first thing that ends it."""
 
@@ -177,7 +185,7 @@
         self.loop = asyncio.get_running_loop()
         self.connect_timeout, self.pin_limit = connect_timeout, pin_limit
         self.pools: Pools[EngineConnection] = Pools(
-            IDLE_PART * idle, connections, SETTLED, connections * RELEASE_PART)
+            IDLE_PART * idle, connections, SETTLED, kept_back(connections))
         self.tasks = Tasks("link")
         self.releases: dict[str, StateRelease] = {}  # by completion
         self.unclear: dict[str, None] = {}  # requests whose prefill was given up, until it is let go
--- a/tests/test_release_schedule.py
+++ b/tests/test_release_schedule.py
@@ -5,6 +5,7 @@
 import pytest
 
 from heathford.interface import HELD_ALLOWANCE, HELD_UP
+from heathford.platform.link import kept_back
 from heathford.platform.release_schedule import (
     ASKED_MOST, REFUSED_MOST, SPACING, SPACINGS, ReleaseSchedule)
 from heathford.policy.held_state import RELEASE_TAKES, HandedOver, release_due
@@ -83,3 +84,8 @@
     assert first.released and not second.released and wakes[4:] == pytest.approx([0.1005])
     states.release_due_ones(11.0)
     assert second.released and states.next_due == inf and len(wakes) == 5
+
+
+@pytest.mark.parametrize("connections, kept", [(1, 0), (8, 0), (9, 1), (19, 1), (100, 5)])
+def test_a_connection_is_kept_back_for_releases(connections: int, kept: int) -> None:
+    assert kept_back(connections) == kept
--- a/tests/test_state_held.py
+++ b/tests/test_state_held.py
@@ -294,6 +294,7 @@
         reader = play.engines[0]
         pools = play.node.link.pools
         pools.open = int(pools.most - pools.urgent)
+        assert pools.urgent >= 1 and not pools.opening(pools.pool("127.0.0.1", 1))
         heard = ReleaseHeard()
         play.node.link.release(play.node.instances.listed(0)[0][0], "c0", heard)
         (await reader.asked(1, b"DELETE")).sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
