A dead holder that is alone is not asked to release in a row

Cause: state_release.py counted each refusal as free, also of one engine asked again: nine calls in milliseconds, where the first retry is free and others wait 0.05 s. The new test fails without it.

--- a/heathford/platform/state_release.py
+++ b/heathford/platform/state_release.py
@@ -145,7 +145,8 @@
             self.tell(lambda events, call=call, status=status: events.unanswered(  # type: ignore[misc]
                 call.engine, max(NO_ANSWER, status.result())))
             now = self.link.loop.time()
-            if status.result() != NO_CONNECTION and now < call.until:
+            first_time = self.asked.count(call.endpoint) == 1
+            if first_time and status.result() != NO_CONNECTION and now < call.until:
                 schedule.was_refused(now)
         return False
 
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -264,3 +264,20 @@
         f"c{n}", [E[i] for i in asked], [("127.0.0.1", i) for i in kept], [E[i] for i in near],
         [E[i] for i in far]).port for n in range(40)}
     assert found == then  # all of them: fronts that let go at once do not meet at one
+
+
+def test_a_dead_holder_that_is_alone_is_not_asked_in_a_row(engine: Engine) -> None:
+    """Its refusals come at once: without a wait between them they use up all tries in milliseconds."""
+    async def day() -> None:
+        gone = Engine()
+        dead = gone.endpoint()
+        gone.close()
+        link = link_of(dead)
+        heard = ReleaseHeard()
+        link.release(dead, "a1", heard)
+        await asyncio.sleep(0.04)
+        assert heard.told.count("asked e") <= 2
+        await until(lambda: "failed" in heard.told)
+        link.stop()
+
+    asyncio.run(day())
