--- a/heathford/core/dispatch.py
+++ b/heathford/core/dispatch.py
@@ -60,6 +60,7 @@
         if self.over or self.streaming:
             return
         self.streaming = True
+        self.taken.released_from = None
         if self.taken.held:
             self.taken.held.end(HeldStage.TAKEN)
         if self.taken.life.stage is Stage.SENT:  # else its client has just been answered or has left
@@ -75,8 +76,9 @@
         core.tell(taken, lambda handle: handle.first_token(self.seq, latency))
 
     def hold_state(self) -> HeldState:
-        """Follow what this prefill attempt has left, or may have left."""
-        if not self.held:
+        """Follow what this prefill attempt has left, or may have left; anew once that counts as released, as
+        an attempt that was out then may have kept it."""
+        if not self.held or not self.held.open:
             core = self.taken.core
             self.held = HeldState(core.loop.time(), core.loop.time, self.record, core.held_statistics)
             self.expect_end_of_hold(self.held)
--- a/heathford/soak/engine.py
+++ b/heathford/soak/engine.py
@@ -1,7 +1,9 @@
 """Engines of the platform's protocol that read, write, fail and hold what was read, for the soak."""
 
 import asyncio
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, nullcontext
 from random import Random
 from time import monotonic
 from typing import Any
@@ -18,6 +20,7 @@
 EVENT_EVERY = 0.05  # s
 PREFILL_TAKES = (0.01, 0.08)  # s, between
 DECODE_TAKES = (0.01, 0.08)  # s to the first event, between
+HANG_LOOK = 0.02  # s between two looks of an engine that hangs
 NOT_HELD = "gone"
 LONGEST = 1 << 20
 
@@ -25,12 +28,15 @@
 
 
 class SoakEngine(Stand):
-    """One engine. rooms: what prefill has left, by request, of all engines."""
+    """One engine. rooms: what prefill has left, by request, of all engines; wanted: how many decode attempts
+    wait for it."""
 
     def __init__(
-        self, uid: str, prefill: bool, zone: str, rooms: dict[str, float], note: Note, seed: int
+        self, uid: str, prefill: bool, zone: str, rooms: dict[str, float], wanted: Counter[str], note: Note,
+        seed: int,
     ) -> None:
         super().__init__()
+        self.wanted = wanted
         self.uid, self.prefill, self.zone, self.rooms, self.note = uid, prefill, zone, rooms, note
         self.random = Random(seed)
         self.troubles: list[Kind] = []
@@ -68,13 +74,15 @@
     async def answer(self, request: Request, writer: asyncio.StreamWriter) -> None:
         name = request.headers.get("x-call-id", request.target.rpartition("/")[2])
         if request.method == "DELETE":
-            self.rooms.pop(name, None)
+            if not self.wanted.get(name):  # as the bench page has it: not what an attempt waits for
+                self.rooms.pop(name, None)
             self.say(Seen.RELEASED, name)
             writer.write(b"HTTP/1.1 204 No Content\r\n\r\n")
             return
         self.say(Seen.DELIVERED, name, "prefill" if self.prefill else "decode")
         if Kind.ENGINE_HANGS in self.troubles:
-            await asyncio.Event().wait()
+            await self.hang(name, writer)
+            return
         if Kind.ENGINE_FULL in self.troubles:
             self.say(Seen.ENGINE_SAID, name, "full")
             writer.write(WORDS["full"])
@@ -88,14 +96,33 @@
             self.rooms[name] = monotonic()
             self.say(Seen.ENGINE_SAID, name, "read")
             writer.write(WORDS["read"])
-        elif self.rooms.pop(name, None) is None:
+        elif name not in self.rooms:
             self.say(Seen.ENGINE_SAID, name, NOT_HELD)
             writer.write(WORDS["gone"])
         else:
+            with self.waiting_for(name):
+                await asyncio.sleep(self.random.uniform(*DECODE_TAKES))
+                if self.given_up(writer):
+                    return
+                self.rooms.pop(name, None)
             await self.stream(name, writer)
 
+    @contextmanager
+    def waiting_for(self, name: str) -> Iterator[None]:
+        """A decode attempt waits for what prefill has left: a release leaves it."""
+        self.wanted[name] += 1
+        try:
+            yield
+        finally:
+            self.wanted[name] -= 1
+
+    async def hang(self, name: str, writer: asyncio.StreamWriter) -> None:
+        """Say nothing until the front node closes the connection."""
+        with self.waiting_for(name) if not self.prefill else nullcontext():
+            while not self.given_up(writer):
+                await asyncio.sleep(HANG_LOOK)
+
     async def stream(self, name: str, writer: asyncio.StreamWriter) -> None:
-        await asyncio.sleep(self.random.uniform(*DECODE_TAKES))
         writer.write(STREAM)
         for number in range(EVENTS):
             if number:
--- a/heathford/soak/oracle.py
+++ b/heathford/soak/oracle.py
@@ -231,7 +231,7 @@
 
     def held(self, name: str, story: Story) -> None:
         """Each time in which a state is held and no attempt that has arrived is out."""
-        steps = [Step(at, Holding.FREE, at) for at in story.releases]
+        steps = [Step(at, Holding.FREE, at, released=True) for at in story.releases]
         for attempt in story.attempts:
             steps += self.steps_of(story, attempt)
         since, holding = inf, Holding.FREE
@@ -243,6 +243,8 @@
                 continue
             if step.holding is Holding.OUT and holding is Holding.FREE:
                 continue
+            if step.holding is Holding.FREE and step.released and holding is Holding.OUT:
+                continue  # the bench page: a release leaves what an attempt waits for
             since = step.since
             holding = Holding.HELD if step.holding is Holding.BACK else step.holding
 
@@ -261,6 +263,8 @@
         arrived = attempt.delivered
         if arrived == inf or attempt.prefill or attempt.engine in self.prefills:
             return []
+        if attempt.outcome == "gone":
+            return [Step(arrived, Holding.FREE, arrived)]  # its engine has found that nothing is held
         if attempt.outcome == "stream":
             return [Step(arrived, Holding.FREE, arrived)]
         out = Step(arrived, Holding.OUT, arrived)
--- a/heathford/soak/run.py
+++ b/heathford/soak/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections import Counter
 from collections.abc import Callable
 from contextlib import suppress
 from dataclasses import dataclass
@@ -74,6 +75,7 @@
         self.plan, self.folder = plan, folder
         self.records: list[Record] = []
         self.rooms: dict[str, float] = {}
+        self.wanted: Counter[str] = Counter()
         self.count = fronts
         self.engines: list[Engine] = []
         self.agents: list[list[Agent]] = []
@@ -113,7 +115,8 @@
         uid, zone = f"e{place}-{self.made}", "ab"[place % 2]
         self.zones[uid] = zone
         stand = SoakEngine(
-            uid, place < ENGINES // 2, zone, self.rooms, self.note, self.plan.seed * 100 + self.made
+            uid, place < ENGINES // 2, zone, self.rooms, self.wanted, self.note,
+            self.plan.seed * 100 + self.made
         )
         stand.boot_ms = boot_ms
         await stand.open()
--- a/heathford/soak/stories.py
+++ b/heathford/soak/stories.py
@@ -105,11 +105,12 @@
 
 @dataclass(frozen=True)
 class Step:
-    """since: s from which the limit counts, if it is held from then on."""
+    """since: s from which the limit counts, if it is held from then on; released: by a release."""
 
     time: float
     holding: Holding
     since: float
+    released: bool = False
 
 
 def stories_of(records: Iterable[Record]) -> dict[str, Story]:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -66,6 +66,9 @@
     "5 held, behind an attempt that no engine has read": [
         *WELL_READ, *attempt(10.1, "w", "")[:2], Record(10.2, Seen.TROUBLE, "", "", "w", 2.0, "LINK_UNREAD"),
         Record(12.0, Seen.RELEASED, "", "c", "w"), *CLEAN[-1:]],
+    "5 held, left by a release to an attempt that ended without it": [
+        *WELL_READ, *attempt(10.1, "w", "")[:3], Record(10.4, Seen.RELEASED, "", "c", "r"),
+        Record(10.6, Seen.GIVEN_UP, "", "c", "w"), *CLEAN[-1:]],
     "1 one answer, read and lost": [
         asked(request_class="chat"), *attempt(10.0, "r", "error"),
         Record(11.0, Seen.LOST, "n", "c", "", 0.0, "reused"), RELEASED, *CLEAN[-1:]],
--- a/tests/test_state_held.py
+++ b/tests/test_state_held.py
@@ -403,3 +403,40 @@
     finally:
         for engine in others:
             engine.close()
+
+
+@pytest.mark.parametrize("verdict, detail", [
+    (Verdict.FULL, 0), (Verdict.FULL, 1), (Verdict.ERROR, 0), (Verdict.TIMED_OUT, 0), (Verdict.BROKEN, 0)])
+@pytest.mark.parametrize("effect", [Effect.IDEMPOTENT, Effect.NON_IDEMPOTENT])
+def test_what_a_release_left_to_an_attempt_is_released_when_that_ends(
+    instance: Callable[..., Instance], effect: Effect, verdict: Verdict, detail: int
+) -> None:
+    """A release leaves what an attempt waits for that has arrived; the attempt may end without taking it.
+    Seen in the simulator: pinned on three of four days."""
+    i = behind_attempt(instance, effect)
+    i.loop.pass_time(DUE + 0.01)
+    assert len(i.link.released) == 1
+    i.link.out[1].events.ended(verdict, detail, {}, {})
+    i.loop.turn()
+    assert len(i.link.released) == 2 and i.core.told_of_held()["released"] == 2
+
+
+def test_what_a_release_left_to_an_attempt_is_released_when_its_client_leaves(
+    instance: Callable[..., Instance]
+) -> None:
+    i = behind_attempt(instance, Effect.IDEMPOTENT)
+    i.loop.pass_time(DUE + 0.01)
+    next(iter(i.core.live)).leave()
+    i.loop.turn()
+    assert i.link.out[1].cancelled and len(i.link.released) == 2
+
+
+def test_an_attempt_that_streams_after_the_release_leaves_nothing_to_release(
+    instance: Callable[..., Instance]
+) -> None:
+    i = behind_attempt(instance, Effect.IDEMPOTENT)
+    i.loop.pass_time(DUE + 0.01)
+    i.link.out[1].events.first_token()
+    i.link.out[1].events.ended(Verdict.BROKEN, 0, {}, {})
+    i.loop.turn()
+    assert len(i.link.released) == 1
