After a release each attempt that ends without streaming has the state released once more

An attempt that comes while a release is on its way may find the state and keep it; request_state.py followed only the attempt that was out at the release. New test of the policy.

--- a/heathford/core/taken.py
+++ b/heathford/core/taken.py
@@ -35,7 +35,7 @@
         self.out: Dispatch | None = None
         self.kv: Mapping[str, Any] | None = None
         self.state_at: Dispatch | None = None  # the reading dispatch that left the state
-        self.released_from: Dispatch | None = None  # the same, once its state was released behind an attempt
+        self.released_from: Dispatch | None = None  # the same, once its state was released
         self.held: HeldState | None = None  # of the last one that did, also while it is being released
         self.read_at: float = 0.0  # s on the loop's clock at which the state was left
         self.over: bool = False  # final answer given, or the client has gone
@@ -86,12 +86,11 @@
             self.core.guarded(self.sink, lambda: self.sink.aborted(why))
 
     def release(self, reason: ReleaseReason = ReleaseReason.POLICY) -> None:
-        """Also once more for what an attempt may have kept that was out at the first release."""
-        holder, self.released_from = self.state_at or self.released_from, None
+        """Also once more for what an attempt may have kept at the first release."""
+        self.released_from = holder = self.state_at or self.released_from
         if holder:
             self.let_go(holder, reason)
             if self.out:
-                self.released_from = holder
                 self.out.look_for_life()
         self.kv = self.state_at = None
 
--- a/heathford/policy/request_state.py
+++ b/heathford/policy/request_state.py
@@ -54,7 +54,7 @@
         self.held_since, self.over, self.stuck = 0.0, False, False
         self.given_up: GivenUp | None = None
         self.release_at = inf  # when its state is released although an attempt is out
-        self.released_behind = False  # it was: the attempt may have kept it, and leave it held as it ends
+        self.released = False  # one was: an attempt may have kept it, and leave it held as it ends
 
     @property
     def settled(self) -> bool:
@@ -68,7 +68,7 @@
         self.router.heard += dispatch.local
         if dispatch.local:  # the stream's end would tell the cached tokens, but comes seconds late
             self.router.mixed_fit.add(mixed_features(dispatch.new, dispatch.contexts), latency, now)
-        self.over, self.state, self.released_behind = True, None, False
+        self.over, self.state, self.released = True, None, False
         self.router.handed_over.remove(self)
         self.router.good += self.counts and now <= self.target_at
         dispatch.engine.went_well(latency, self.target, now, self.router.answers)
@@ -89,10 +89,9 @@
         if self.out is dispatch:
             self.out = None
         self.router.handed_over.remove(self)
-        if self.released_behind and not dispatch.streaming:
-            # Guards against a state that the release left to this attempt, as it had arrived and waited for
-            # it: the attempt has ended without taking it. Costs one more release.
-            self.released_behind = False
+        if self.released and not self.state and not dispatch.reading and not dispatch.streaming:
+            # Guards against a state that a release left to this attempt, as it waited for it, or was sent to
+            # an engine that found it before the release came: it ended without taking it. Costs a release.
             self.door.release()
         self.stuck = False  # looked at at once: a final answer may be due
         if verdict in ANSWERED or not self.state:
@@ -152,9 +151,8 @@
 
     def let_go(self) -> None:  # nothing stays pinned: neither an answer nor a client's leaving frees a state
         if self.state:
-            self.released_behind = self.out is not None
             self.door.release()
-            self.state = None
+            self.state, self.released = None, True
 
     def risky(self) -> list[Dispatch]:  # those that may have had an effect
         return [d for d in self.dispatches if not d.reading and d.verdict not in NEVER_RAN]
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -791,3 +791,18 @@
     b.asked()
     b.end(c, Verdict.BROKEN)
     assert "send" not in [asked[0] for asked in b.asked()]
+
+
+def test_what_an_attempt_may_have_found_before_a_release_is_released_as_that_ends(bench: New) -> None:
+    """Seen in the simulator: a mixed server read anew, found the state, and ran out of time."""
+    b = bench()
+    b.engines((10, 0), (12, 1))
+    c = b.take(500)
+    b.end(c, Verdict.READ)
+    b.engines((12, 1), health=Health.GONE)
+    b.engines((14, 2))
+    b.asked()
+    b.end(c, Verdict.TIMED_OUT, after=1.0)
+    assert b.asked() == [("release",), ("send", 14)]
+    b.end(c, Verdict.TIMED_OUT, after=1.0)
+    assert b.asked()[0] == ("release",)
