--- a/heathford/soak/stories.py
+++ b/heathford/soak/stories.py
@@ -69,6 +69,8 @@
             open_ones = [attempt for attempt in at_engine if attempt.delivered == inf]
         elif record.kind is Seen.ENGINE_SAID:
             open_ones = [attempt for attempt in at_engine if attempt.delivered < inf and not attempt.outcome]
+        elif record.kind is Seen.GIVEN_UP:  # one attempt after another: the earlier one is closed first
+            open_ones = [a for a in reversed(at_engine) if a.closed == inf and not a.outcome]
         else:
             open_ones = at_engine
         return next(iter(open_ones or at_engine), None)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -80,6 +80,9 @@
     "bad client": [*CLEAN, Record(14.0, Seen.WAITED, "n", value=3.1)],
     "crash": [*CLEAN, Record(12.0, Seen.EXIT, "n", value=1, text="unexpected")],
     "log": [*CLEAN, Record(12.0, Seen.LOG, "n", text="Traceback")],
+    "log, answered by the last resort": [
+        asked(), answered(13.2, 502),
+        Record(13.1, Seen.LOG, "n", text='{"completion": "c", "out": null, "event": "overdue"}')],
     "descriptors": [*CLEAN, Record(30.0, Seen.MEASURE, "n", value=170, text="30000")],
     "memory": [*CLEAN, Record(30.0, Seen.MEASURE, "n", value=40, text="80000")],
 }
@@ -110,6 +113,8 @@
     [asked(), Record(10.1, Seen.TROUBLE, "n", value=0.1, text="KILL"),
      Record(10.2, Seen.LOST, "n", "c", "", 0.0, "new")],
     [asked(), Record(10.2, Seen.LOST, "n", "c", "", 0.0, "reused")],
+    [asked(), answered(13.1, 502),
+     Record(13.1, Seen.LOG, "n", text='{"completion": "c", "out": null, "event": "overdue"}')],
     [asked(), Record(10.1, Seen.TROUBLE, "n", value=1.0, text="CROWD"),
      Record(10.2, Seen.LOST, "n", "c", "", 0.0, "new")],
 ])
