--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -302,8 +302,8 @@
         client = await node.client()
         client.say(said)
         assert (await client.answer())[0] == status
-        # By none of the calls that a link makes. A front node of another test may look for its discovery, which
-        # has ended, on a port that an engine here was given.
+        # By none of the calls that a link makes. A front node of another test may look for its discovery,
+        # which has ended, on a port that an engine here was given.
         assert not [call for call in a.asked + b.asked if call[0] in ("POST", "DELETE")]
         assert await node.ask("after") == (200, ALL, True)
     play(tmp_path, [a, b], day)
