The process tests wait for the front node's watch

The holder-stops test told a new engine before the front node watched its discovery, and the stand-in told nobody; the front node never heard of the engine that the test waits for. Now it waits for the watch, and the engine is on the whole list too. Measured: the file three times without a failure.

--- a/tests/test_held_state_processes.py
+++ b/tests/test_held_state_processes.py
@@ -74,6 +74,7 @@
         async with asyncio.timeout(READY):
             while not front.address.ready:
                 await asyncio.sleep(0.01)
+            await agent.until_watched()  # a change told before that is not heard
         yield made
     finally:
         for writer in made.writers:
@@ -126,6 +127,7 @@
             await other.open()
             await made.ask("c0", request_class)
             read_at = await holder.told()
+            made.agent.engines.append(other)
             made.agent.say(other.row)
             await until_released(other, ["c0"])
             other.close()
