--- a/heathford/policy/router.py
+++ b/heathford/policy/router.py
@@ -217,6 +217,8 @@
         for ring in self.rings[role]:
             drawn = [ring.draw(f"{seed}:{completion.key}", usable) for seed in (1, 2)]
             able = [e for e in drawn if e and is_open(e)]
+            if len(able) > 1 and not self.slow_start.takes_second_draw(able[1], completion.session):
+                return able[0]
             if able:
                 return min(able, key=lambda e: e.tokens)
         return None
--- a/heathford/policy/slow_start.py
+++ b/heathford/policy/slow_start.py
@@ -10,6 +10,8 @@
 from heathford.policy.placement import POINTS, Ring, hashed
 
 COLD_PART = 0.8  # of the rule's own budget at the coldest, against warm engines' mean: the rest is chance
+SECOND_PART = 0.4  # of second draws: with first ones what leads to a cold engine stays within its budget
+TEXTS_KNOWN = 10  # of our recent ones, from which one more than were seen is little
 RECENT = 64  # of our completions: by their texts a front tells how much of all leads to one engine
 
 
@@ -47,6 +49,14 @@
         cold = [e for e in self.pools[engine.kind.role] if e.cold_sends and self.cold(e)]
         return self.sent_cold(engine) < max(1.0, each) and sum(map(self.sent_cold, cold)) < max(1.0, together)
 
+    def takes_second_draw(self, engine: Engine, session: str) -> bool:
+        """Guards against second draws, which prefer an empty cold engine for its few tokens and are not
+        counted in what leads there: a part of them is taken, by a hash, where the first may be had. Where few
+        texts are known the one more that is counted stands for them. Could harm by a longer queue there."""
+        if not self.cold(engine) or len(self.recent) < TEXTS_KNOWN:
+            return True
+        return hashed(f"second:{engine.number}:{session}") < SECOND_PART * 65536
+
     def sent_cold(self, engine: Engine) -> int:
         return sum(sent >= self.clock.now - self.window for sent in engine.cold_sends)
 
