Failing tests: what a prefill that was given up leaves late, while its request goes on

A prefill attempt whose connection breaks is released by name at once, and again after 0.1 s, as its engine may end it well after the first release. A further attempt of the request calls that second release off (PlatformLink.send), rightly: it would take what the new attempt leaves. But nothing makes up for it, neither once the request streams nor once it is refused.

--- a/tests/test_state_held.py
+++ b/tests/test_state_held.py
@@ -8,12 +8,12 @@
 
 import pytest
 from conftest import Instance, Out, ReleaseHeard
-from raw_peers import Day, RawEngine, decode, prefill, request, run_day, until
+from raw_peers import Day, RawClient, RawEngine, answer_releases, decode, prefill, request, run_day, until
 
 from heathford.core.doors import Arrival
 from heathford.interface import HELD_UP, Effect, Verdict
 from heathford.platform.release_schedule import SPACING
-from heathford.standin.platform import READ
+from heathford.standin.platform import GOOD, READ, WORDS
 
 LIMIT = 0.3  # s, as the stand-in's settings have it
 ALLOWANCE = 0.3  # s more, as the users state
@@ -440,3 +440,68 @@
     i.link.out[1].events.ended(Verdict.BROKEN, 0, {}, {})
     i.loop.turn()
     assert len(i.link.released) == 1
+
+
+async def unclear_prefill(play: Day, client: RawClient) -> None:
+    """A prefill attempt whose connection breaks, and the release that is confirmed before it ends well."""
+    reader = play.engines[0]
+    client.say(request("c0"))
+    (await reader.asked()).sock.close()
+    (await reader.asked(1, b"DELETE")).sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+
+
+def test_what_an_unclear_prefill_leaves_late_is_released_once_another_attempt_streams(
+    tmp_path: Path
+) -> None:
+    """Guards against a state that the first prefill engine leaves after the release, while the request goes
+    on elsewhere: a release then would take what the second one leaves."""
+    async def day(play: Day) -> None:
+        reader, writer = play.engines
+        client = play.client()
+        await unclear_prefill(play, client)
+        (await reader.asked(2)).sock.sendall(READ)
+        (await writer.asked()).sock.sendall(GOOD)
+        await until(lambda: reader.deletes + writer.deletes > 1, "a release after the first event")
+    run_day(tmp_path, day)
+
+
+def test_what_an_unclear_prefill_leaves_late_is_released_once_its_request_is_over(tmp_path: Path) -> None:
+    async def day(play: Day) -> None:
+        reader, writer = play.engines
+        client = play.client()
+        await unclear_prefill(play, client)
+        await reader.asked(2)
+        client.leave("closed")
+        await until(lambda: reader.deletes + writer.deletes > 1, "a release after the client has left")
+    run_day(tmp_path, day)
+
+
+def test_what_an_unclear_prefill_leaves_late_is_released_after_a_refusal(tmp_path: Path) -> None:
+    """The second prefill engine turns the request away, so nothing of the second attempt is unclear."""
+    async def day(play: Day) -> None:
+        reader, writer = play.engines
+        client = play.client()
+        client.say(request("c0", budget=400))
+        (await reader.asked()).sock.close()
+        (await reader.asked(1, b"DELETE")).sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+        (await reader.asked(2)).sock.sendall(WORDS["full"])
+        await client.until(1)
+        await until(lambda: reader.deletes + writer.deletes > 1, "a release after the final answer")
+    run_day(tmp_path, day)
+
+
+def test_a_release_that_follows_an_unclear_prefill_is_said_for_as_long_as_that_may_run_on(
+    tmp_path: Path
+) -> None:
+    """Its engine may be cut off, so that it neither sees the close nor ends soon."""
+    async def day(play: Day) -> None:
+        reader, writer = play.engines
+        client = play.client()
+        await unclear_prefill(play, client)
+        client.leave("closed")
+        answering = asyncio.create_task(answer_releases(*play.engines))
+        since = time.monotonic()
+        await until(lambda: reader.deletes + writer.deletes > 3, "further releases")
+        answering.cancel()
+        assert 1.0 <= time.monotonic() - since <= 2.5
+    run_day(tmp_path, day)
