What a given-up prefill leaves late is released once its request streams or is over

Cause: PlatformLink.send called off the second release of an unclear prefill for good, and run_release said it once only, 0.1 s later. Class: what we did (a release that was confirmed) is taken for what the server did.

The link says it again 0.1, 0.5 and 1 s after, unless a further attempt begins.

Ruled out: releases while the next prefill is out or its state waits; they name the request and would take it.

--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -189,6 +189,7 @@
         touched, self.touched = self.touched, {}
         for taken in touched:
             if taken.gone:
+                taken.release_late_prefill()
                 self.live.pop(taken, None)
         if not self.live and self.idle:
             calls, self.idle = self.idle, []
--- a/heathford/core/dispatch.py
+++ b/heathford/core/dispatch.py
@@ -66,6 +66,7 @@
         if self.taken.life.stage is Stage.SENT:  # else its client has just been answered or has left
             self.taken.core.gate.step(self.taken.life, Event.FIRST_EVENT)
         self.record("first event")
+        self.taken.release_late_prefill()
         core, taken = self.taken.core, self.taken
         latency = core.loop.time() - self.sent
         if taken.timer:
@@ -154,9 +155,7 @@
             if taken.abandoned:
                 taken.release(ReleaseReason.REQUEST_OVER)
         elif self.reading and verdict not in NEVER_RAN:
-            # Guards against a read that ends unseen: its state may wait at the reader though we were never
-            # told of it, and only its name lets it go. Harms nothing where there is none.
-            taken.let_go(self, ReleaseReason.PREFILL_UNCLEAR)
+            taken.prefill_ended_unclear(self)
         elif self.held:
             self.held.end(HeldStage.NEVER_HELD)
         if verdict is Verdict.FINISHED:
--- a/heathford/core/held_state.py
+++ b/heathford/core/held_state.py
@@ -29,6 +29,7 @@
 
     POLICY = "the policy lets it go"
     PREFILL_UNCLEAR = "its prefill attempt ended unseen"
+    PREFILL_LATE = "an earlier prefill attempt may have ended well since"
     REQUEST_OVER = "the request was over when its prefill attempt ended"
     DECISION_FAILED = "the request's decision failed"
 
--- a/heathford/core/taken.py
+++ b/heathford/core/taken.py
@@ -36,6 +36,7 @@
         self.kv: Mapping[str, Any] | None = None
         self.state_at: Dispatch | None = None  # the reading dispatch that left the state
         self.released_from: Dispatch | None = None  # the same, once its state was released
+        self.unclear_prefill: Dispatch | None = None  # the last that may end well after its release
         self.held: HeldState | None = None  # of the last one that did, also while it is being released
         self.read_at: float = 0.0  # s on the loop's clock at which the state was left
         self.over: bool = False  # final answer given, or the client has gone
@@ -123,6 +124,20 @@
         held.release_begins()
         self.core.link.release(dispatch.endpoint, dispatch.name, held)
 
+    def prefill_ended_unclear(self, dispatch: Dispatch) -> None:
+        """Guards against a read that ends unseen: its state may wait at the reader though we were never told
+        of it, and only its name lets it go. Harms nothing where there is none."""
+        self.unclear_prefill = dispatch
+        self.let_go(dispatch, ReleaseReason.PREFILL_UNCLEAR)
+
+    def release_late_prefill(self) -> None:
+        """Guards against what such a read leaves after that release, while the request went on elsewhere:
+        until a later attempt has what it needs, or the request is over, a release could take that from it.
+        Costs a release where a further attempt followed."""
+        dispatch, self.unclear_prefill = self.unclear_prefill, None
+        if dispatch and self.one_name and dispatch is not self.dispatches[-1]:
+            self.let_go(dispatch, ReleaseReason.PREFILL_LATE)
+
     def close(self, how: str, why: str = "") -> bool:
         """True for the first call only: a completion gets one final answer."""
         if self.over:
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -24,7 +24,8 @@
 # request that crosses the close may have run; ten times the way between zones
 SILENCE = 4.0  # s without an event after which a stream is held for dead: clients may be kept waiting for 5
 PREFILL_ANSWER = 0.1  # s in which a prefill engine's answer comes whole once it has begun: some 100 bytes
-OVERTAKEN = 0.1  # s after a release that may have overtaken the read it is for until it is said once more
+LATE_READ = (0.1, 0.5, 1.0)  # s after each release of a prefill that was given up until it is said again: its
+# engine may end it well after a release, and later where it is cut off and does not see that we have closed
 FAILED_AGAIN = 0.5  # s after a release that nobody confirmed until it is said again; then twice as long
 FAILED_AGAIN_MOST = 4.0  # s of these: in all they outlast a cut of several seconds
 UNCLEAR = frozenset({Verdict.CANCELLED, Verdict.TIMED_OUT, Verdict.BROKEN})  # ends of a read that may go on
@@ -113,7 +114,7 @@
         self.stop(keep)
         self.link.ends[verdict] += 1
         if (sent or verdict is Verdict.BROKEN) and verdict in UNCLEAR and self.endpoint.role is Role.READER:
-            self.link.unclear[self.name] = None
+            self.link.unclear[self.name] = 0
         self.events.ended(verdict, detail, {}, {"kv": {}})
 
     def timed_out(self) -> None:
@@ -188,7 +189,8 @@
             IDLE_PART * idle, connections, SETTLED, kept_back(connections))
         self.tasks = Tasks("link")
         self.releases: dict[str, StateRelease] = {}  # by completion
-        self.unclear: dict[str, None] = {}  # requests whose prefill was given up, until it is let go
+        # Requests whose prefill was given up, with the releases said since that no attempt has followed.
+        self.unclear: dict[str, int] = {}
         self.again: dict[str, asyncio.TimerHandle] = {}  # requests whose release is to be said once more
         self.ends: Counter[Verdict] = Counter()
         self.spoilt = self.unreleased = 0
@@ -201,6 +203,8 @@
         call = EngineCall(self, endpoint, name, body, mark, timeout, events)
         if name in self.again:
             self.again.pop(name).cancel()
+        if name in self.unclear:
+            self.unclear[name] = 0  # the core has them said once this attempt is through
         if name in self.releases:
             # Guards against a DELETE that comes after the dispatch it was sent before: it names the
             # completion, and would take the state from that one. Costs the wait for its answer.
@@ -221,23 +225,34 @@
             self.tasks.spawn(self.run_release(endpoint, name, events, again_after))
 
     async def run_release(
-        self, holder: Endpoint, name: str, events: ReleaseEvents, again_after: float
+        self, endpoint: Endpoint, name: str, events: ReleaseEvents, again_after: float
     ) -> None:
         release = self.releases[name]
         try:
-            if not await release.run():
+            confirmed = await release.run()
+            if not confirmed:
                 self.unreleased += 1
                 release.told_failed()
-                if again_after <= FAILED_AGAIN_MOST and not release.waiting:
-                    self.say_again(again_after, holder, name, events, 2 * again_after)
-            elif name in self.unclear and not release.waiting:
-                self.say_again(OVERTAKEN, holder, name, events, FAILED_AGAIN)
+            if not release.waiting:
+                self.say_again_if_due(confirmed, endpoint, name, events, again_after)
         finally:
-            self.unclear.pop(name, None)
             del self.releases[name]
             for call in release.waiting:
                 call.start()
 
+    def say_again_if_due(
+        self, confirmed: bool, endpoint: Endpoint, name: str, events: ReleaseEvents, again_after: float
+    ) -> None:
+        """A release that nobody confirmed, and a confirmed one of a prefill that may still run on."""
+        said = self.unclear.get(name, len(LATE_READ))
+        if not confirmed and again_after <= FAILED_AGAIN_MOST:
+            self.say_again(again_after, endpoint, name, events, 2 * again_after)
+        elif confirmed and said < len(LATE_READ):
+            self.unclear[name] = said + 1
+            self.say_again(LATE_READ[said], endpoint, name, events, FAILED_AGAIN)
+        else:
+            self.unclear.pop(name, None)
+
     def say_again(
         self, after: float, holder: Endpoint, name: str, events: ReleaseEvents, then_after: float
     ) -> None:
@@ -262,7 +277,7 @@
     ) -> None:
         """Guards against a release that is read, on another connection, before the prefill that was given up
         ends well, and against one that nobody confirmed: what is left would stay. Not where another attempt
-        has begun: it names the request, and would take what that leaves. Costs one call for each prefill
+        has begun: it names the request, and would take what that leaves. Costs a few calls for each prefill
         given up."""
         del self.again[name]
         self.release(endpoint, name, events, again_after)
--- a/tests/test_state_held.py
+++ b/tests/test_state_held.py
@@ -497,9 +497,10 @@
     async def day(play: Day) -> None:
         reader, writer = play.engines
         client = play.client()
-        await unclear_prefill(play, client)
-        client.leave("closed")
+        client.say(request("c0"))
+        await reader.asked()
         answering = asyncio.create_task(answer_releases(*play.engines))
+        client.leave("closed")
         since = time.monotonic()
         await until(lambda: reader.deletes + writer.deletes > 3, "further releases")
         answering.cancel()
