The soak: stopped engines with full accept queues, late reads judged, no SIGHUP before its time

Cause: FrontProcess.suffer sent SIGHUP while Python was still starting, and FrontProcess.read_log forgave that for SIGTERM only.

New: ENGINE_STOPPED, an engine whose machine takes what comes until its accept queue is full, so that new connections hang.

--- a/heathford/soak/client.py
+++ b/heathford/soak/client.py
@@ -10,11 +10,11 @@
 
 import orjson
 
+from heathford.soak.engine import LATE_NOTED, STAMP
 from heathford.soak.plan import Kind
 from heathford.soak.records import Record, Seen
 
 Note = Callable[[Record], None]
-STAMP = re.compile(rb"t(\d+\.\d+);")
 STALLED = 5.0  # s without a byte after which a client gives a stream up
 LATEST = 2.0  # s past its budget for which a client waits: what comes then is late
 THINKS = (0.05, 0.5)  # s between two requests, between
@@ -155,8 +155,8 @@
             whole += part
             for stamp in STAMP.findall(part):
                 late = monotonic() - float(stamp)
-                if late > 0.1:
-                    self.say(Seen.LATE_EVENT, name, late)
+                if late > LATE_NOTED:
+                    self.say(Seen.LATE_EVENT, name, late, stamp.decode())
         if b"[DONE]" not in whole:
             self.say(Seen.LOG, name, text="a stream ended with its last chunk and was not whole")
 
--- a/heathford/soak/engine.py
+++ b/heathford/soak/engine.py
@@ -1,6 +1,7 @@
 """Engines of the platform's protocol that read, write, fail and hold what was read, for the soak."""
 
 import asyncio
+import re
 from collections import Counter
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, nullcontext
@@ -23,6 +24,8 @@
 HANG_LOOK = 0.02  # s between two looks of an engine that hangs
 NOT_HELD = "gone"
 LONGEST = 1 << 20
+STAMP = re.compile(rb"t(\d+\.\d+);")  # in each event: when its engine wrote it
+LATE_NOTED = 0.1  # s from which an event that comes late is noted
 
 Note = Callable[[Record], None]
 
@@ -173,6 +176,11 @@
             self.request.feed(b"")
 
     def received(self, data: bytes) -> None:
+        now = monotonic()
+        for stamp in STAMP.findall(data):
+            late = now - float(stamp)
+            if late > LATE_NOTED:
+                self.note(Record(now, Seen.EVENT_ON_THE_WAY, "", self.name, self.uid, late, stamp.decode()))
         if data.endswith(b"0\r\n\r\n") or (data.startswith(b"HTTP/1.1") and b"chunked" not in data):
             if self.name:
                 self.say(monotonic(), Seen.PASSED_ON)
--- a/heathford/soak/front.py
+++ b/heathford/soak/front.py
@@ -7,6 +7,7 @@
 import sys
 from collections.abc import Callable
 from contextlib import suppress
+from math import inf
 from pathlib import Path
 from random import Random
 from time import monotonic
@@ -31,6 +32,8 @@
 INTERPRETER_STARTS = (
     5.0  # s: a signal before the program's first line ends the process; the pages exclude it
 )
+RELOADED_AFTER = 1.0  # s from a start, and ready: the pages send no SIGHUP before
+RELOAD_LOOK = 0.02  # s between two looks at that
 WRONG = ("error", "critical")
 EXPECTED = ("configuration not taken",)
 STEPS = (5.0, -5.0, 3_600.0, -3_600.0)  # s by which the wall clock steps
@@ -80,6 +83,7 @@
         self.over = False  # the run is
         self.violations_told = 0  # by this process, a line each
         self.busy = asyncio.Lock()
+        self.started_at = self.ready_at = inf  # s on the machine's clock, of the present process
 
     def configure(self) -> None:
         self.path.write_bytes(
@@ -96,6 +100,7 @@
     async def start(self) -> None:
         self.ends = False
         self.violations_told = 0
+        self.started_at, self.ready_at = monotonic(), inf
         self.configure()
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -140,6 +145,7 @@
             return
         if said.get("event") == "ready":
             self.address.ready = True
+            self.ready_at = monotonic()
         if said.get("event") == "rule violated":
             self.violations_told += 1
         counted = sum(said.get("violations", {}).values()) if said.get("event") == "state" else 0
@@ -157,6 +163,10 @@
             with suppress(ProcessLookupError):
                 self.process.send_signal(number)
 
+    def may_be_reloaded(self) -> bool:
+        """The pages: SIGHUP comes never in a process's first second, nor before it is ready."""
+        return monotonic() >= max(self.started_at + RELOADED_AFTER, self.ready_at)
+
     async def suffer(self, kind: Kind, seconds: float) -> None:
         """A trouble of this process itself."""
         if kind in (Kind.STOP_SHORT, Kind.STOP_LONG):
@@ -164,11 +174,14 @@
             await asyncio.sleep(min(seconds, 0.15) if kind is Kind.STOP_SHORT else seconds)
             self.send(signal.SIGCONT)
         elif kind is Kind.RELOAD:
+            while not self.may_be_reloaded():
+                await asyncio.sleep(RELOAD_LOOK)
             self.discoveries.reverse()
             self.configure()
             self.send(signal.SIGHUP)
             await asyncio.sleep(0.01)
-            self.send(signal.SIGHUP)
+            if self.may_be_reloaded():  # it may have been started anew since
+                self.send(signal.SIGHUP)
         elif kind in ENDINGS:
             async with self.busy:
                 await self.restart(kind)
@@ -197,7 +210,8 @@
 
     async def tell_to_end(self, kind: Kind) -> None:
         """SIGTERM, alone or amid other signals."""
-        if kind is Kind.SIGNAL_SERIES:
+        reloaded = kind is Kind.SIGNAL_SERIES and self.may_be_reloaded()
+        if reloaded:
             self.discoveries.reverse()
             self.configure()
             self.send(signal.SIGHUP)
@@ -205,7 +219,7 @@
         elif kind is Kind.STOP_AMID_END:
             self.send(signal.SIGSTOP)
         self.send(signal.SIGTERM)
-        if kind is Kind.SIGNAL_SERIES:
+        if reloaded:
             await asyncio.sleep(WITHIN_MILLISECONDS)
             self.send(signal.SIGHUP)
         elif kind is Kind.STOP_AMID_END:
--- a/heathford/soak/oracle.py
+++ b/heathford/soak/oracle.py
@@ -27,14 +27,12 @@
 STOPS = (Kind.STOP_SHORT, Kind.STOP_AMID_END, Kind.STOP_LONG)  # all but the last for HELD_UP at most
 TOLD_TO_END = (Kind.TERMINATE.name, Kind.SIGNAL_SERIES.name, Kind.STOP_AMID_END.name)
 LONGEST_END = 4.0  # s from SIGTERM to the kill at most, and a little
-BREAK_STREAMS = (  # troubles that end a stream: its connections break, or its engine says nothing or ends
+BREAK_STREAMS = (  # troubles that end a stream: its connections break, or its engine says nothing
     Kind.LINK_RESET, Kind.LINK_CUT, Kind.LINK_REFUSED, Kind.LINK_SILENT, Kind.LINK_UNREAD, Kind.LINK_BREAKS,
-    Kind.ENGINE_DRAINS)
+    Kind.ENGINE_STOPPED)
 HIDE_DISCOVERY = (  # troubles by which a change of the list is told later: the pages count 6 s then
     Kind.DISCOVERY_SILENT, Kind.DISCOVERY_SLOW, Kind.DISCOVERY_RESET, Kind.RELOAD, Kind.SIGNAL_SERIES,
     Kind.LINK_BREAKS, Kind.CONNECT_FAILS)
-HOLD_EVENTS_BACK = (  # troubles of the way between an engine and a front node, or of the front node's calls
-    Kind.LINK_SILENT, Kind.LINK_DELAY, Kind.LINK_DRIP, Kind.LINK_UNREAD, Kind.SEND_SHORT, Kind.RECV_SHORT)
 DESCRIPTORS_GROW = 120
 DESCRIPTORS_MOST = 400  # as the soak's configuration limits them
 MEMORY_GROWS = 40_000  # kB
@@ -69,7 +67,6 @@
         self.records = sorted(records, key=lambda record: record.time)
         self.limits = limits
         self.breaches: list[Breach] = []
-        self.given_up_before = 0  # prefill attempts that were given up before their engine had read them
         self.crossed = 0  # requests whose kept connection ended under them: sent once more by clients
         self.stories = stories_of(self.records)
         self.troubles = [record for record in self.records if record.kind is Seen.TROUBLE]
@@ -257,6 +254,8 @@
         steps = [Step(at, Holding.FREE, at, released=True) for at in story.releases]
         for attempt in story.attempts:
             steps += self.steps_of(story, attempt)
+            if attempt.outcome == "read" and attempt.closed < attempt.said:
+                self.late_read(name, story, attempt)
         since, holding = inf, Holding.FREE
         steps.sort(key=lambda step: step.time)
         for step in [*steps, Step(self.end, Holding.FREE, self.end)]:
@@ -274,9 +273,7 @@
     def steps_of(self, story: Story, attempt: Attempt) -> "list[Step]":
         if attempt.outcome == "read":
             if attempt.closed < attempt.said:
-                # The pages: a state whose reading attempt was cancelled or timed out goes by itself.
-                self.given_up_before += 1
-                return []
+                return []  # judged by `late_read`
             # Without its whole answer the attempt is out until it is given up, at its time at the latest.
             given_up = min(attempt.closed, attempt.first + attempt.told)
             unheard = attempt.heard == inf or attempt.closed < inf
@@ -293,6 +290,18 @@
         out = Step(arrived, Holding.OUT, arrived)
         return [out, Step(attempt.end, Holding.BACK, attempt.end)] if attempt.end < inf else [out]
 
+    def late_read(self, name: str, story: Story, read: Attempt) -> None:
+        """The protocol page: what a read has left that ended well as its connection was closed is held like
+        any other state. While another attempt is out the limit does not run; by the bench page all goes with
+        a stream's first event."""
+        since = read.said
+        for attempt in sorted(story.attempts, key=lambda attempt: attempt.first):
+            if attempt.delivered <= since + self.limits.pin and since < attempt.end < inf:
+                since = attempt.end
+        ends = [time for time in story.releases if time >= read.said]
+        ends += [a.said for a in story.attempts if a.outcome == "stream" and a.said >= read.said]
+        self.check_held(name, story, since, min(ends, default=self.end))
+
     def check_held(self, name: str, story: Story, since: float, until: float) -> None:
         limit = self.limits.pin + HELD_SLACK + self.allowance(story.front, since, until)
         excused = self.killed(story.front, story.asked, since + limit) or any(
@@ -351,17 +360,20 @@
                     break
 
     def events(self) -> None:
+        """An event's time counts from when its link passed it on: a cut holds it back before that."""
+        on_the_way = {
+            (record.request, record.text): record.value
+            for record in self.records
+            if record.kind is Seen.EVENT_ON_THE_WAY
+        }
         for record in self.records:
-            if record.kind is Seen.LATE_EVENT and record.value > EVENT_SLACK:
-                story = self.stories[record.request]
-                engines = [attempt.engine for attempt in story.attempts]
-                since = record.time - record.value
-                over = record.value - EVENT_SLACK - self.allowance(story.front, since, record.time)
-                troubled = self.within(
-                    since, record.time, story.front, *engines, kinds=HOLD_EVENTS_BACK
-                )
-                if over > 0 and not troubled:
-                    self.breach("event held back", record.time, record.request, f"{record.value:.3f} s")
+            if record.kind is not Seen.LATE_EVENT:
+                continue
+            held_back = record.value - on_the_way.get((record.request, record.text), 0.0)
+            front = self.stories[record.request].front
+            since = record.time - held_back
+            if held_back - EVENT_SLACK > self.allowance(front, since, record.time):
+                self.breach("event held back", record.time, record.request, f"{held_back:.3f} s")
 
     def processes(self) -> None:
         first: dict[str, Record] = {}
--- a/heathford/soak/records.py
+++ b/heathford/soak/records.py
@@ -20,6 +20,7 @@
     GIVEN_UP = "a front node has closed the attempt's connection"
     RELEASED = "an engine has read a release"
     LATE_EVENT = "a client got an event that many seconds after its engine wrote it"
+    EVENT_ON_THE_WAY = "the link passed an event on that many seconds after its engine wrote it"
     DRAINED = "a front node's discovery has told that an engine leaves"
     COLD = "an engine has started"
     TROUBLE = "a trouble began, for so many seconds"
--- a/heathford/soak/relay.py
+++ b/heathford/soak/relay.py
@@ -12,6 +12,8 @@
 DRIP_EVERY = 0.002  # s from byte to byte
 DRIP_BYTES = 200  # that come byte by byte before the rest
 LATE = 0.2  # s by which a late link is late
+SILENT = (Kind.LINK_SILENT, Kind.DISCOVERY_SILENT, Kind.ENGINE_STOPPED)  # read, and not passed on
+FILLERS = 2  # connections that fill an accept queue of length 0
 CUT_AFTER = 90  # bytes of a piece that still pass
 
 
@@ -39,6 +41,8 @@
         self.changed = asyncio.Event()
         self.open: dict[asyncio.StreamWriter, Watcher] = {}
         self.tasks: set[asyncio.Task[None]] = set()
+        self.over = False
+        self.full_queue: list[socket.socket] = []  # a listening socket that nobody accepts on, and fillers
 
     async def listen(self) -> None:
         self.server = await asyncio.start_server(self.relay, "127.0.0.1", self.port)
@@ -46,20 +50,52 @@
 
     async def begin(self, kind: Kind) -> None:
         self.troubles.append(kind)
-        if kind in (Kind.LINK_RESET, Kind.DISCOVERY_RESET):
-            self.reset_all()
-        elif kind is Kind.LINK_REFUSED and self.server:
-            self.server.close()
-            self.server = None
+        await self.adjust_listening()
+        if kind in (Kind.LINK_RESET, Kind.DISCOVERY_RESET, Kind.LINK_REFUSED):
             self.reset_all()
 
     async def end(self, kind: Kind) -> None:
         self.troubles.remove(kind)
-        if kind is Kind.LINK_REFUSED and self.server is None and kind not in self.troubles:
-            await self.listen()
+        await self.adjust_listening()
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
+    async def adjust_listening(self) -> None:
+        """Listen as the machine behind this link does now."""
+        refuses = Kind.LINK_REFUSED in self.troubles
+        stopped = Kind.ENGINE_STOPPED in self.troubles and not refuses
+        if refuses or stopped:
+            self.stop_listening()
+        if stopped and not self.full_queue:
+            self.fill_queue()
+        if not stopped:
+            self.empty_queue()
+        if not refuses and not stopped and self.server is None and not self.over:
+            await self.listen()
+
+    def stop_listening(self) -> None:
+        if self.server:
+            self.server.close()
+            self.server = None
+
+    def fill_queue(self) -> None:
+        """New connections do not come up, as at a process that is stopped and accepts none."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(("127.0.0.1", self.port))
+        listener.listen(0)
+        self.full_queue = [listener]
+        for _ in range(FILLERS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", self.port))
+            self.full_queue.append(filler)
+
+    def empty_queue(self) -> None:
+        for sock in self.full_queue:
+            sock.close()
+        self.full_queue = []
+
     def reset_all(self) -> None:
         for writer, watcher in list(self.open.items()):
             watcher.closed()  # from now on, not from when the other task reads the end
@@ -118,7 +154,7 @@
         """What was read, under the troubles that hold then; up to an end."""
         while True:
             data = await read.get()
-            while Kind.LINK_SILENT in self.troubles or Kind.DISCOVERY_SILENT in self.troubles:
+            while any(kind in self.troubles for kind in SILENT):
                 await self.changed.wait()
             if Kind.LINK_DELAY in self.troubles or Kind.DISCOVERY_SLOW in self.troubles:
                 await asyncio.sleep(LATE)
@@ -143,8 +179,9 @@
 
     def close(self) -> None:
         """End all connections, and listen no longer."""
-        if self.server:
-            self.server.close()
+        self.over = True
+        self.stop_listening()
+        self.empty_queue()
         self.reset_all()
         for task in list(self.tasks):
             task.cancel()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,15 +1,20 @@
 """The soak: its plans, its oracle against one seeded breach of each rule, and a few seconds of one seed."""
 
+import asyncio
 from collections.abc import Sequence
 from dataclasses import replace
 from pathlib import Path
+from time import monotonic
 
 import pytest
 
+from heathford.soak.front import FrontProcess
 from heathford.soak.oracle import Limits, Oracle
 from heathford.soak.plan import TOUCH, Kind, Plan, Trouble, draw, read, shrink
 from heathford.soak.records import Record, Seen
+from heathford.soak.relay import Relay, Watcher
 from heathford.soak.report import play
+from heathford.standin.platform import Agent, settings
 
 LIMITS = Limits(
     pin=0.3, grace=0.5, window=1.5, effects={"chat": "free", "booking": "single_shot", "order": "guarded"},
@@ -42,6 +47,10 @@
 RELEASED = Record(10.2, Seen.RELEASED, "", "c", "r")
 WELL_READ = [asked(), *attempt(10.0, "r", "read")]
 
+LATE_READ = [asked(), *attempt(10.0, "r", "")[:3], Record(10.1, Seen.GIVEN_UP, "", "c", "r"),
+             Record(10.11, Seen.RELEASED, "", "c", "w"),
+             Record(10.2, Seen.ENGINE_SAID, "", "c", "r", 0.0, "read")]
+
 BREACHES: dict[str, list[Record]] = {
     "1 one answer": [*CLEAN, answered(10.5, 502)],
     "1 one answer, lost": [asked(), Record(11.0, Seen.LOST, "n", "c", "", 0.0, "new"), *CLEAN[-1:]],
@@ -69,6 +78,10 @@
     "5 held, left by a release to an attempt that ended without it": [
         *WELL_READ, *attempt(10.1, "w", "")[:3], Record(10.4, Seen.RELEASED, "", "c", "r"),
         Record(10.6, Seen.GIVEN_UP, "", "c", "w"), *CLEAN[-1:]],
+    "5 held, left by a read that ended well after it was given up": [
+        *LATE_READ, *attempt(10.3, "r2", "full"), *CLEAN[-1:]],
+    "5 held, left by such a read while the request goes on": [
+        *LATE_READ, *attempt(10.13, "w", "error"), Record(10.15, Seen.RELEASED, "", "c", "w"), *CLEAN[-1:]],
     "1 one answer, read and lost": [
         asked(request_class="chat"), *attempt(10.0, "r", "error"),
         Record(11.0, Seen.LOST, "n", "c", "", 0.0, "reused"), RELEASED, *CLEAN[-1:]],
@@ -77,6 +90,15 @@
     "deadline told": [asked(budget=1_000.0), *attempt(10.0, "r", "read", told=1_250.0),
                       *attempt(10.1, "w", "stream", told=800.0), answered(10.4, 200)],
     "event held back": [*CLEAN, Record(10.4, Seen.LATE_EVENT, "n", "c", "", 0.4)],
+    "event held back, beside a link that was late": [
+        *CLEAN, Record(10.4, Seen.LATE_EVENT, "n", "c", "", 0.9, "1.0"),
+        Record(10.0, Seen.EVENT_ON_THE_WAY, "", "c", "w", 0.5, "1.0")],
+    "event held back, beside another event that its link held back": [
+        *CLEAN, Record(10.4, Seen.LATE_EVENT, "n", "c", "", 0.9, "1.0"),
+        Record(10.0, Seen.EVENT_ON_THE_WAY, "", "c", "w", 0.9, "2.0")],
+    "event held back, under short reads": [
+        *CLEAN, Record(10.0, Seen.TROUBLE, "n", value=1.0, text="RECV_SHORT"),
+        Record(10.4, Seen.LATE_EVENT, "n", "c", "", 0.4)],
     "bad client": [*CLEAN, Record(14.0, Seen.WAITED, "n", value=3.1)],
     "crash": [*CLEAN, Record(12.0, Seen.EXIT, "n", value=1, text="unexpected")],
     "log": [*CLEAN, Record(12.0, Seen.LOG, "n", text="Traceback")],
@@ -117,6 +139,10 @@
      Record(13.1, Seen.LOG, "n", text='{"completion": "c", "out": null, "event": "overdue"}')],
     [asked(), Record(10.1, Seen.TROUBLE, "n", value=1.0, text="CROWD"),
      Record(10.2, Seen.LOST, "n", "c", "", 0.0, "new")],
+    [*CLEAN, Record(10.4, Seen.LATE_EVENT, "n", "c", "", 0.9, "1.0"),
+     Record(10.3, Seen.EVENT_ON_THE_WAY, "", "c", "w", 0.8, "1.0")],
+    [*LATE_READ, Record(10.7, Seen.RELEASED, "", "c", "w"), *CLEAN[-1:]],
+    [*LATE_READ, *attempt(10.25, "w", "stream"), answered(10.4, 200), *CLEAN[-1:]],
 ])
 def test_what_the_rules_allow_is_no_breach(records: list[Record]) -> None:
     assert judged(records) == set()
@@ -155,3 +181,55 @@
     outcome = play(plan, 3, tmp_path)
     assert outcome.asked > 50 and outcome.answers[200] > 25
     assert outcome.breaches == []
+
+
+def test_a_stopped_engine_takes_no_connection_and_passes_on_what_came_before() -> None:
+    async def day() -> None:
+        came = asyncio.Event()
+
+        async def engine(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            assert await reader.readexactly(2) == b"ab"
+            came.set()
+
+        server = await asyncio.start_server(engine, "127.0.0.1", 0)
+        relay = Relay(lambda: server.sockets[0].getsockname()[:2], Watcher)
+        await relay.listen()
+        _, writer = await asyncio.open_connection("127.0.0.1", relay.port)
+        writer.write(b"a")
+        await asyncio.sleep(0.05)
+        await relay.begin(Kind.ENGINE_STOPPED)
+        writer.write(b"b")
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await asyncio.open_connection("127.0.0.1", relay.port)
+        assert not came.is_set()
+        await relay.end(Kind.ENGINE_STOPPED)
+        async with asyncio.timeout(5.0):
+            await came.wait()
+            (await asyncio.open_connection("127.0.0.1", relay.port))[1].close()
+        writer.close()
+        relay.close()
+        server.close()
+    asyncio.run(day())
+
+
+def test_no_reload_comes_before_the_pages_allow_one(tmp_path: Path) -> None:
+    """The pages: SIGHUP never in a process's first second, nor before it is ready. One that
+    came as Python was still starting ended a front node, on a machine that was slower than usual."""
+    async def day() -> list[Record]:
+        agent = Agent()
+        seen: list[Record] = []
+        front = FrontProcess("n0", tmp_path, settings(), 2 * [await agent.open()], [], seen.append)
+        await front.start()
+        assert not front.may_be_reloaded()
+        async with asyncio.timeout(10.0):
+            await front.suffer(Kind.RELOAD, 0.0)
+        assert monotonic() >= front.started_at + 1.0 and front.address.ready
+        await front.suffer(Kind.SIGNAL_SERIES, 0.0)  # ends it, and starts it anew
+        front.ends = True
+        await front.tell_to_end(Kind.SIGNAL_SERIES)  # at once: SIGTERM alone
+        await asyncio.sleep(1.0)
+        await front.stop()
+        agent.close()
+        return seen
+    assert [record for record in asyncio.run(day()) if record.text] == []
