Core: what prefill attempts have left is one object; one stub for links that ask nobody

Need: a request kept six fields that overlapped (kv, state_at, released_from, held, read_at and the prefill that ended unclear); which of them belong together stood in three modules.

Change: heathford/core/prefill_state.py holds them, with one method for each thing that happens to a state. EnginesCountAsAlive in core/doors.py takes the place of the same two methods in two links. Behaviour as before.

--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -248,6 +248,6 @@
     def told_of_held(self) -> dict[str, float]:
         """For the state line: states that are held, and how those that were have ended."""
         now = self.loop.time()
-        open_states = [t.held for t in self.live if t.held]
+        open_states = [t.prefill.held for t in self.live if t.prefill.held]
         return self.held_statistics.told(
             max((now - held.begun_at for held in open_states if held.open), default=0.0))
--- a/heathford/core/dispatch.py
+++ b/heathford/core/dispatch.py
@@ -60,9 +60,7 @@
         if self.over or self.streaming:
             return
         self.streaming = True
-        self.taken.released_from = None
-        if self.taken.held:
-            self.taken.held.end(HeldStage.TAKEN)
+        self.taken.prefill.was_taken()
         if self.taken.life.stage is Stage.SENT:  # else its client has just been answered or has left
             self.taken.core.gate.step(self.taken.life, Event.FIRST_EVENT)
         self.record("first event")
@@ -145,13 +143,12 @@
         self.record("ended", verdict.value)
         now = core.loop.time()
         latency = now - self.sent
-        if verdict in ANSWERED and taken.held:
-            taken.held.since = now  # the limit counts anew from what an engine itself has told
+        if verdict in ANSWERED:
+            taken.prefill.engine_answered(now)
         if taken.out is self:
             taken.out = None
         if verdict is Verdict.READ:
-            taken.kv, taken.state_at, taken.read_at = answer["kv"], self, now
-            taken.held = self.hold_state()
+            taken.prefill.was_left(self, answer["kv"], now)
             if taken.abandoned:
                 taken.release(ReleaseReason.REQUEST_OVER)
         elif self.reading and verdict not in NEVER_RAN:
--- a/heathford/core/doors.py
+++ b/heathford/core/doors.py
@@ -1,8 +1,10 @@
 """What the core needs of those beside it: a sink for each completion, a link to engines, a loop for time."""
 
+import asyncio
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 from typing import Any, Protocol
 
 from heathford.interface import Role, Verdict
@@ -122,6 +124,20 @@
         alive. Tells nothing before it has returned."""
 
 
+class EnginesCountAsAlive:
+    """The part of a `Link` whose protocol has nothing to ask an engine for life with."""
+
+    def heard_at(self, endpoint: Endpoint) -> float:
+        """Not followed."""
+        return -inf
+
+    def ask_for_life(
+        self, endpoint: Endpoint, name: str, within: float, told: Callable[[bool], None]
+    ) -> None:
+        """Whoever is asked lives."""
+        asyncio.get_running_loop().call_soon(told, True)
+
+
 class Cancellable(Protocol):
     def cancel(self) -> None: ...
 
--- a/heathford/core/taken.py
+++ b/heathford/core/taken.py
@@ -8,7 +8,8 @@
 from heathford.core.dispatch import Dispatch
 from heathford.core.doors import Cancellable, Sink
 from heathford.core.gate import Event, Reason, RequestLife
-from heathford.core.held_state import HeldState, ReleaseReason
+from heathford.core.held_state import ReleaseReason
+from heathford.core.prefill_state import PrefillState
 from heathford.interface import Verdict, Workload
 from heathford.policy import Completion
 
@@ -33,12 +34,7 @@
         self.handle: Completion | None = None
         self.dispatches: list[Dispatch] = []
         self.out: Dispatch | None = None
-        self.kv: Mapping[str, Any] | None = None
-        self.state_at: Dispatch | None = None  # the reading dispatch that left the state
-        self.released_from: Dispatch | None = None  # the same, once its state was released
-        self.unclear_prefill: Dispatch | None = None  # the last that may end well after its release
-        self.held: HeldState | None = None  # of the last one that did, also while it is being released
-        self.read_at: float = 0.0  # s on the loop's clock at which the state was left
+        self.prefill: PrefillState = PrefillState()
         self.over: bool = False  # final answer given, or the client has gone
         self.abandoned: bool = False  # its decision failed: nothing more is asked of its handle
         self.timer: Cancellable | None = core.loop.call_at(due + core.answer_margin / 2, self.overdue)
@@ -52,7 +48,7 @@
         self.out = dispatch
         core.gate.step(self.life, Event.HANDED_OVER)
         dispatch.record("handed over")
-        kv = None if dispatch.reading else self.kv
+        kv = None if dispatch.reading else self.prefill.transfer
         try:
             dispatch.call = core.link.send(
                 dispatch.endpoint, dispatch.name, self.body, kv, self.mark, timeout, dispatch)
@@ -62,8 +58,8 @@
             core.fault(problem, None)
             dispatch.ended(Verdict.UNSENT, 0, {}, {})
             return
-        if self.state_at and not dispatch.reading:
-            due = max(self.read_at + core.hold, dispatch.sent + (core.pin_limit - core.hold) / 2)
+        if self.prefill.waits and not dispatch.reading:
+            due = max(self.prefill.read_at + core.hold, dispatch.sent + (core.pin_limit - core.hold) / 2)
             dispatch.arrival = core.loop.call_at(due, dispatch.look_for_arrival)
 
     def cancel(self, seq: int) -> None:
@@ -88,12 +84,11 @@
 
     def release(self, reason: ReleaseReason = ReleaseReason.POLICY) -> None:
         """Also once more for what an attempt may have kept at the first release."""
-        self.released_from = holder = self.state_at or self.released_from
+        holder = self.prefill.to_release()
         if holder:
             self.let_go(holder, reason)
             if self.out:
                 self.out.look_for_life()
-        self.kv = self.state_at = None
 
     # What the front says.
 
@@ -120,22 +115,24 @@
         and several in a row outlast the pin limit. Where all have one name the link holds what is sent next
         until the release is through, so that it takes no later state. Costs that dispatch a round trip."""
         dispatch.record("release", reason.value)
-        self.held = held = dispatch.hold_state()
+        self.prefill.held = held = dispatch.hold_state()
         held.release_begins()
         self.core.link.release(dispatch.endpoint, dispatch.name, held)
 
     def prefill_ended_unclear(self, dispatch: Dispatch) -> None:
         """Guards against a read that ends unseen: its state may wait at the reader though we were never told
         of it, and only its name lets it go. Harms nothing where there is none."""
-        self.unclear_prefill = dispatch
+        self.prefill.unclear = dispatch
         self.let_go(dispatch, ReleaseReason.PREFILL_UNCLEAR)
 
     def release_late_prefill(self) -> None:
         """Guards against what such a read leaves after that release, while the request went on elsewhere:
         until a later attempt has what it needs, or the request is over, a release could take that from it.
         Costs a release where a further attempt followed."""
-        dispatch, self.unclear_prefill = self.unclear_prefill, None
-        if dispatch and self.one_name and dispatch is not self.dispatches[-1]:
+        if not self.prefill.unclear:
+            return
+        dispatch = self.prefill.unclear_before(self.dispatches[-1])
+        if dispatch and self.one_name:
             self.let_go(dispatch, ReleaseReason.PREFILL_LATE)
 
     def close(self, how: str, why: str = "") -> bool:
--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import ssl
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from math import inf
 from typing import Any
 
@@ -11,7 +11,7 @@
 import structlog
 from tornado.iostream import IOStream, SSLIOStream, StreamClosedError
 
-from heathford.core.doors import Arrival, CallEvents, Endpoint, ReleaseEvents
+from heathford.core.doors import Arrival, CallEvents, Endpoint, EnginesCountAsAlive, ReleaseEvents
 from heathford.core.tasks import Tasks
 from heathford.engines.answers import cached, chunk, load_of, read_answer, verdict_of
 from heathford.engines.pools import Connections, Pools
@@ -24,7 +24,7 @@
 log = structlog.get_logger()
 
 
-class EngineLink:
+class EngineLink(EnginesCountAsAlive):
     """connect_timeout, idle and stream_silence in s; connections at most for each engine; source: the local
     address that connections are made from, or empty; pin_limit: s within which a state is let go. tls: what
     new connections are made with, if anything; an engine's certificate must name it as the list does."""
@@ -51,16 +51,6 @@
     def release(self, endpoint: Endpoint, name: str, events: ReleaseEvents) -> None:
         self.tasks.spawn(self.let_go(endpoint, name, events))
 
-    def heard_at(self, endpoint: Endpoint) -> float:
-        """Not followed here."""
-        return -inf
-
-    def ask_for_life(
-        self, endpoint: Endpoint, name: str, within: float, told: Callable[[bool], None]
-    ) -> None:
-        """Only its holder knows a state here, so no engine is asked: it counts as alive."""
-        asyncio.get_running_loop().call_soon(told, True)
-
     async def let_go(self, endpoint: Endpoint, name: str, events: ReleaseEvents) -> None:
         loop = asyncio.get_running_loop()
         tries = LettingGo(loop.time(), self.pin_limit)
--- a/heathford/standin/link.py
+++ b/heathford/standin/link.py
@@ -2,15 +2,14 @@
 before the core, and for measuring it alone."""
 
 import asyncio
-from collections.abc import Callable, Mapping
-from math import inf
+from collections.abc import Mapping
 from typing import Any
 
-from heathford.core.doors import Arrival, CallEvents, Endpoint, ReleaseEvents
+from heathford.core.doors import Arrival, CallEvents, Endpoint, EnginesCountAsAlive, ReleaseEvents
 from heathford.interface import Role, Verdict
 
 
-class AnsweringLink:
+class AnsweringLink(EnginesCountAsAlive):
     """While `held` it says nothing. pace: s between tokens; 0: all at once."""
 
     def __init__(self, pace: float = 0.0) -> None:
@@ -35,16 +34,6 @@
     def release(self, endpoint: Endpoint, name: str, events: ReleaseEvents) -> None:
         asyncio.get_running_loop().call_soon(events.confirmed, endpoint.name)
 
-    def heard_at(self, endpoint: Endpoint) -> float:
-        """Not followed here."""
-        return -inf
-
-    def ask_for_life(
-        self, endpoint: Endpoint, name: str, within: float, told: Callable[[bool], None]
-    ) -> None:
-        """Whoever is asked lives."""
-        asyncio.get_running_loop().call_soon(told, True)
-
 
 class AnsweringCall:
     def __init__(self, link: AnsweringLink, endpoint: Endpoint, body: Any, events: CallEvents) -> None:
