Failing tests: looks at sockets and shutdowns that fail break off requests and the end

Found by reading related paths for calls that the system may refuse. poll(2) may fail with ENOMEM, shutdown(2) with ENOTCONN where a client resets its connection between our look and the call.

--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -11,6 +11,7 @@
 from raw_peers import Day, request, run_day, until
 
 from heathford.standin.platform import GOOD, READ
+from heathford.wire import socket_state
 
 FAILURES = 8
 LOCAL = [errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM]
@@ -68,3 +69,69 @@
     """It is no promise of asyncio's: one that no longer reads it has to be found here."""
     source = Path(asyncio.selector_events.__file__).read_text()
     assert "constants.ACCEPT_RETRY_DELAY" in source
+
+
+class FailingPoll:
+    """A poll(2) that has no memory."""
+
+    def register(self, descriptor: int, flags: int) -> None:
+        """Nothing fails yet."""
+
+    def poll(self, timeout: float) -> list[tuple[int, int]]:
+        raise OSError(errno.ENOMEM, "for a moment")
+
+
+def test_a_request_is_served_while_looks_at_sockets_fail(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a request that waits for its last resort, as nothing could be learnt of its client."""
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        client = play.client()
+        client.say(request("c0"))
+        await until(lambda: bool(play.node.clients.open), "the request")
+        with monkeypatch.context() as patch:
+            patch.setattr(socket_state.select, "poll", FailingPoll)
+            for _ in range(20):
+                await asyncio.sleep(0.01)
+        (await a.asked()).sock.sendall(READ)
+        with monkeypatch.context() as patch:
+            patch.setattr(socket_state.select, "poll", FailingPoll)
+            await asyncio.sleep(0.1)
+        (await b.asked()).sock.sendall(GOOD)
+        await until(lambda: client.whole == 1, "the stream's end")
+    run_day(tmp_path, day)
+
+
+def test_a_process_ends_in_order_while_looks_at_sockets_fail(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against an end that is broken off: what was taken would be lost."""
+    async def day(play: Day) -> None:
+        client = play.client()
+        await play.answer(client, "c0")
+        play.node.terminate()
+        with monkeypatch.context() as patch:
+            patch.setattr(socket_state.select, "poll", FailingPoll)
+            ending = asyncio.create_task(play.node.end())
+            await asyncio.sleep(1.0)
+            assert not ending.done()  # nothing is known of what may lie unread: it goes on
+        await asyncio.wait_for(ending, 2.0)
+    run_day(tmp_path, day)
+
+
+def test_a_process_ends_in_order_where_a_client_resets_in_the_moment_of_a_shutdown(tmp_path: Path) -> None:
+    """Guards against an end that one connection breaks off: ENOTCONN after a look that found it whole."""
+    async def day(play: Day) -> None:
+        client, other = play.client(), play.client()
+        await play.answer(client, "c0")
+        await play.answer(other, "c1")
+        transport: Any = next(iter(play.node.clients.connections)).transport
+
+        def refused() -> None:
+            raise OSError(errno.ENOTCONN, "it was reset")
+        transport.write_eof = refused
+        play.node.terminate()
+        await asyncio.wait_for(play.node.end(), 3.0)
+        assert not play.node.clients.connections
+    run_day(tmp_path, day)
