Looks at sockets and shutdowns that fail cost a moment, not a request or the end

In Node.end any of them ended the process with what it had taken.

Change: where poll tells nothing, something may lie unread and the client may still wait (the worse for each use: nothing is closed, nothing given up); a connection that can't be shut is dropped; one guard for both loops.

--- a/heathford/platform/client_connection.py
+++ b/heathford/platform/client_connection.py
@@ -242,7 +242,10 @@
         self.clients.changed(self)
         transport = self.transport
         if transport and not transport.is_closing():
-            transport.write_eof()
+            try:
+                transport.write_eof()
+            except OSError:  # its client has reset it since we looked
+                self.drop()
 
     @property
     def flushed(self) -> bool:
--- a/heathford/platform/client_server.py
+++ b/heathford/platform/client_server.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from itertools import islice
 from math import inf
 
@@ -84,12 +84,16 @@
         self.refuses_from = self.loop.time() + STILL_ASKED
 
     def sweep(self, now: float) -> None:
-        """Close what idles. A fault at one connection costs that one."""
+        """Close what idles."""
+        self.with_each(lambda connection: self.sweep_one(connection, now))
+
+    def with_each(self, call: Callable[[ClientConnection], object]) -> None:
+        """Guards against a fault at one connection that costs the others: it costs that one."""
         for connection in list(self.connections):
             try:
-                self.sweep_one(connection, now)
+                call(connection)
             except Exception as problem:
-                log.error("connection not swept", exc_info=problem)
+                log.error("connection not looked after", exc_info=problem)
                 connection.drop()
 
     def sweep_one(self, connection: ClientConnection, now: float) -> None:
@@ -108,5 +112,5 @@
             connection.finish_if_idle()
 
     def close_idle(self) -> None:
-        for connection in list(self.connections):
-            connection.finish_if_idle()
+        """Shut all on which nothing is owed."""
+        self.with_each(ClientConnection.finish_if_idle)
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -4,7 +4,6 @@
 import asyncio.constants
 import gc
 import resource
-import select
 import signal
 import socket
 import time
@@ -26,6 +25,7 @@
 from heathford.platform.link import PlatformLink
 from heathford.platform.start import StartError, address_of, from_environment, seed_of, told
 from heathford.wire.http1 import NonsenseError
+from heathford.wire.socket_state import flags_of
 
 ANSWER_MARGIN = 0.02  # s before the client timeout by which it is answered: the way to it, and the loop's lag
 ACCEPTED = 8  # connections accepted in one turn of the loop: those to be closed go between two turns
@@ -208,10 +208,8 @@
         was taken by this machine. Costs a call to the kernel."""
         if not self.server:
             return False
-        poll = select.poll()
-        for sock in self.server.sockets:
-            poll.register(sock.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
+        looks = [flags_of(sock.fileno()) for sock in self.server.sockets]
+        return any(flags is None or flags for flags in looks)
 
     async def end(self) -> None:
         """Serves on for as long as clients may come, then until all that was taken is answered, however long
--- a/heathford/wire/socket_state.py
+++ b/heathford/wire/socket_state.py
@@ -21,6 +21,20 @@
     ended: bool
 
 
+NOTHING_KNOWN = SocketState(unread=True, ended=False)  # closes nothing, and gives up nothing
+
+
+def flags_of(descriptor: int) -> int | None:
+    """What poll(2) tells of a descriptor now; None where the system has no memory to say it."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN | select.POLLRDHUP)
+    try:
+        found = poll.poll(0)
+    except OSError:
+        return None
+    return found[0][1] if found else 0
+
+
 def state_of(transport: asyncio.Transport | None) -> SocketState:
     """Ask the kernel, without waiting. A transport that is closing has ended.
 
@@ -30,10 +44,9 @@
     """
     if transport is None or transport.is_closing():
         return SocketState(unread=True, ended=True)
-    poll = select.poll()
-    poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-    found = poll.poll(0)
-    flags = found[0][1] if found else 0
+    flags = flags_of(transport.get_extra_info("socket").fileno())
+    if flags is None:
+        return NOTHING_KNOWN
     ended = bool(flags & (select.POLLRDHUP | select.POLLHUP | select.POLLERR))
     return SocketState(unread=bool(flags), ended=ended)
 
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import select
 import socket
 import time
 from pathlib import Path
@@ -11,7 +12,6 @@
 from raw_peers import Day, request, run_day, until
 
 from heathford.standin.platform import GOOD, READ
-from heathford.wire import socket_state
 
 FAILURES = 8
 LOCAL = [errno.EADDRNOTAVAIL, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM]
@@ -91,12 +91,12 @@
         client.say(request("c0"))
         await until(lambda: bool(play.node.clients.open), "the request")
         with monkeypatch.context() as patch:
-            patch.setattr(socket_state.select, "poll", FailingPoll)
+            patch.setattr(select, "poll", FailingPoll)
             for _ in range(20):
                 await asyncio.sleep(0.01)
         (await a.asked()).sock.sendall(READ)
         with monkeypatch.context() as patch:
-            patch.setattr(socket_state.select, "poll", FailingPoll)
+            patch.setattr(select, "poll", FailingPoll)
             await asyncio.sleep(0.1)
         (await b.asked()).sock.sendall(GOOD)
         await until(lambda: client.whole == 1, "the stream's end")
@@ -112,7 +112,7 @@
         await play.answer(client, "c0")
         play.node.terminate()
         with monkeypatch.context() as patch:
-            patch.setattr(socket_state.select, "poll", FailingPoll)
+            patch.setattr(select, "poll", FailingPoll)
             ending = asyncio.create_task(play.node.end())
             await asyncio.sleep(1.0)
             assert not ending.done()  # nothing is known of what may lie unread: it goes on
