The soak: SIGTERM is noted as it is sent; a read that begins after its end goes by itself

A trouble that waited for an earlier restart was noted seconds before its SIGTERM; that has a record now.

--- a/heathford/soak/front.py
+++ b/heathford/soak/front.py
@@ -218,6 +218,7 @@
             await asyncio.sleep(WITHIN_MILLISECONDS)
         elif kind is Kind.STOP_AMID_END:
             self.send(signal.SIGSTOP)
+        self.say(Seen.ENDING)
         self.send(signal.SIGTERM)
         if reloaded:
             await asyncio.sleep(WITHIN_MILLISECONDS)
--- a/heathford/soak/oracle.py
+++ b/heathford/soak/oracle.py
@@ -25,7 +25,7 @@
 OVERDUE = re.compile(r'"completion": "([^"]+)".*"event": "overdue"')
 JUDGED_BY_RECORDS = ("overdue", '"HELD"', "'HELD'")
 STOPS = (Kind.STOP_SHORT, Kind.STOP_AMID_END, Kind.STOP_LONG)  # all but the last for HELD_UP at most
-TOLD_TO_END = (Kind.TERMINATE.name, Kind.SIGNAL_SERIES.name, Kind.STOP_AMID_END.name)
+NEW_CONNECTIONS = 0.4  # s after SIGTERM up to which the pages have clients open new connections
 LONGEST_END = 4.0  # s from SIGTERM to the kill at most, and a little
 BREAK_STREAMS = (  # troubles that end a stream: its connections break, or its engine says nothing
     Kind.LINK_RESET, Kind.LINK_CUT, Kind.LINK_REFUSED, Kind.LINK_SILENT, Kind.LINK_UNREAD, Kind.LINK_BREAKS,
@@ -73,6 +73,7 @@
         self.prefills = {
             r.engine for r in self.records if r.kind is Seen.DELIVERED and r.text == "prefill"
         }
+        self.endings = [record for record in self.records if record.kind is Seen.ENDING]
         self.exits = [record for record in self.records if record.kind is Seen.EXIT]
         self.lags = [record for record in self.records if record.kind is Seen.LAG]
         self.end = self.records[-1].time if self.records else 0.0
@@ -128,10 +129,18 @@
     def held_up(self, front: str, since: float, until: float) -> bool:
         """It was stopped for longer than the pages allow, in that time or since it was told to end: then it
         does not know how soon it is killed."""
-        told = [t.time for t in self.troubles if t.front == front and t.text in TOLD_TO_END]
+        told = [record.time for record in self.endings if record.front == front]
         ends = [time for time in told if until - LONGEST_END <= time <= until]
         return self.stopped(front, min([since, *ends]), until) > HELD_UP + OWN_SLACK
 
+    def opened_late(self, story: Story) -> bool:
+        """It came first on a connection that was opened later after SIGTERM than the pages have it."""
+        return any(
+            told.front == story.front
+            and told.time + NEW_CONNECTIONS < story.asked < told.time + LONGEST_END
+            for told in self.endings
+        )
+
     def killed(self, front: str, since: float, until: float) -> bool:
         return any(
             t.front == front and t.text == Kind.KILL.name and since - 0.1 <= t.time <= until
@@ -169,7 +178,8 @@
                 continue  # the pages: a front node may be held up for 0.15 s, not for longer
             unread = not story.attempts  # the pages: it is sent once more where it was not read
             crowded = self.within(lost.time, lost.time, story.front, kinds=(Kind.CROWD,))
-            if unread and (lost.text == "reused" or crowded):
+            uncalled = lost.text == "new" and self.opened_late(story)
+            if unread and (lost.text == "reused" or crowded or uncalled):
                 self.crossed += 1
             else:
                 self.breach("1 one answer", lost.time, name, f"lost: {lost.text}")
@@ -293,7 +303,9 @@
     def late_read(self, name: str, story: Story, read: Attempt) -> None:
         """The protocol page: what a read has left that ended well as its connection was closed is held like
         any other state. While another attempt is out the limit does not run; by the bench page all goes with
-        a stream's first event."""
+        a stream's first event, and by itself what a read leaves that its engine got after it was given up."""
+        if read.delivered > read.closed:
+            return
         since = read.said
         for attempt in sorted(story.attempts, key=lambda attempt: attempt.first):
             if attempt.delivered <= since + self.limits.pin and since < attempt.end < inf:
--- a/heathford/soak/records.py
+++ b/heathford/soak/records.py
@@ -24,6 +24,7 @@
     DRAINED = "a front node's discovery has told that an engine leaves"
     COLD = "an engine has started"
     TROUBLE = "a trouble began, for so many seconds"
+    ENDING = "a front node was sent SIGTERM"
     EXIT = "a front node ended with that status"
     LOG = "a front node logged that something is wrong"
     WAITED = "a client that asks nothing whole got an answer or a close after so many seconds"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -54,6 +54,9 @@
 BREACHES: dict[str, list[Record]] = {
     "1 one answer": [*CLEAN, answered(10.5, 502)],
     "1 one answer, lost": [asked(), Record(11.0, Seen.LOST, "n", "c", "", 0.0, "new"), *CLEAN[-1:]],
+    "1 one answer, lost on a connection opened in time after SIGTERM": [
+        Record(9.7, Seen.ENDING, "n"), asked(),
+        Record(11.0, Seen.LOST, "n", "c", "", 0.0, "new"), *CLEAN[-1:]],
     "1 one answer, cut": [*CLEAN[:-2], Record(10.3, Seen.CUT, "n", "c"), *CLEAN[-1:]],
     "1 in time": [asked(), answered(13.6, 502)],
     "2 no two out": [
@@ -139,9 +142,14 @@
      Record(13.1, Seen.LOG, "n", text='{"completion": "c", "out": null, "event": "overdue"}')],
     [asked(), Record(10.1, Seen.TROUBLE, "n", value=1.0, text="CROWD"),
      Record(10.2, Seen.LOST, "n", "c", "", 0.0, "new")],
+    [Record(9.5, Seen.ENDING, "n"), asked(),
+     Record(11.0, Seen.LOST, "n", "c", "", 0.0, "new"), *CLEAN[-1:]],
     [*CLEAN, Record(10.4, Seen.LATE_EVENT, "n", "c", "", 0.9, "1.0"),
      Record(10.3, Seen.EVENT_ON_THE_WAY, "", "c", "w", 0.8, "1.0")],
     [*LATE_READ, Record(10.7, Seen.RELEASED, "", "c", "w"), *CLEAN[-1:]],
+    [asked(), *attempt(10.0, "r", "")[:2], Record(10.1, Seen.GIVEN_UP, "", "c", "r"),
+     Record(12.0, Seen.DELIVERED, "", "c", "r", 0.0, "prefill"),
+     Record(12.1, Seen.ENGINE_SAID, "", "c", "r", 0.0, "read"), *CLEAN[-1:]],
     [*LATE_READ, *attempt(10.25, "w", "stream"), answered(10.4, 200), *CLEAN[-1:]],
 ])
 def test_what_the_rules_allow_is_no_breach(records: list[Record]) -> None:
