Releases share what is known of silent engines, and no longer fan out for each state

Cause: StateRelease.ask_batch asked on for each state alone, and run_release said failed ones again in full.

The holder is asked again only while fewer than two calls to it are out. A late read's further releases are not followed by four more where nobody confirms them.

--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -13,6 +13,7 @@
 from heathford.interface import Role, Verdict
 from heathford.platform.answers import Answer
 from heathford.platform.exchange import EngineConnection, Exchange
+from heathford.platform.silent_engines import SilentEngines
 from heathford.platform.state_release import NO_ANSWER, ReleaseCall, StateRelease
 from heathford.wire.http1 import NonsenseError, request
 from heathford.wire.socket_state import undelivered
@@ -187,6 +188,7 @@
         self.connect_timeout, self.pin_limit = connect_timeout, pin_limit
         self.pools: Pools[EngineConnection] = Pools(
             IDLE_PART * idle, connections, SETTLED, kept_back(connections))
+        self.silent_engines = SilentEngines(lambda address: self.pools.pool(*address).heard_at)
         self.tasks = Tasks("link")
         self.releases: dict[str, StateRelease] = {}  # by completion
         # Requests whose prefill was given up, with the releases said since that no attempt has followed.
@@ -249,7 +251,7 @@
             self.say_again(again_after, endpoint, name, events, 2 * again_after)
         elif confirmed and said < len(LATE_READ):
             self.unclear[name] = said + 1
-            self.say_again(LATE_READ[said], endpoint, name, events, FAILED_AGAIN)
+            self.say_again(LATE_READ[said], endpoint, name, events, FAILED_AGAIN_MOST)
         else:
             self.unclear.pop(name, None)
 
--- a/heathford/platform/release_schedule.py
+++ b/heathford/platform/release_schedule.py
@@ -1,14 +1,18 @@
 """When and whom to ask to release a state that no engine has confirmed as released; no I/O."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from hashlib import blake2b
 
 from heathford.core.doors import Endpoint
+from heathford.engines.pools import Address
+from heathford.interface import Role
 
 ASKED_MOST = 16  # engines, besides those that refuse: two silent roles of a zone, and some beyond them
 REFUSED_MOST = 8  # refusals that count as none asked: every second one lies in another zone, some cut off
 SPACING = 0.05  # s at most until others are asked too: many round trips, and three fit in the margin
 SPACINGS = 6  # within the limit
+LEAST_ASKED = 2  # engines, also where all are taken for silent
+HOLDER_AT_ONCE = 2  # calls to the holder that may be out: its kept connection may be silent, a new one not
 
 
 class ReleaseSchedule:
@@ -42,6 +46,10 @@
         self.asked += 1
         self.next_at = now + self.spacing
 
+    def nobody_is_left(self, now: float) -> None:
+        """All others are silent: an answer may still come, or one of them be heard again."""
+        self.next_at = now + self.spacing
+
     def was_refused(self, now: float) -> None:
         """An engine could not be asked, as where nobody listens any more: another may be asked now. Guards
         against the engines of a lost zone, met in a row."""
@@ -52,24 +60,28 @@
 
 
 def next_to_ask(
-    name: str, asked: Sequence[Endpoint], kept: Iterable[tuple[str, int]], near: Sequence[Endpoint],
-    far: Sequence[Endpoint],
-) -> Endpoint:
-    """For a platform where any engine lets go of what another holds: one not asked yet, else the holder.
-    kept: addresses that we have a connection to, the one that was heard last first, as it most likely runs;
-    near, far: engines listed, by zone.
+    name: str, asked: Sequence[Endpoint], kept: Iterable[Address], near: Sequence[Endpoint],
+    far: Sequence[Endpoint], is_silent: Callable[[Address], bool] = lambda address: False,
+) -> Endpoint | None:
+    """For a platform where any engine releases what another holds: one not asked yet and not silent, else
+    the first that was asked, if any was. kept: addresses that we have a connection to, the one that was heard
+    last first, as it most likely runs; near, far: engines listed, by zone.
 
     Guards against a holder that is cut off or silent at a front that has no other connection: asked again
     and again, it kept the state. Near ones and far ones in turn, as either zone may be the one that is lost,
-    and each front and completion begins elsewhere, as then all let go at once. Could harm by a new connection
-    at an engine that has nothing to do with it."""
+    and each front and completion begins elsewhere, as then all release at once. Could harm by a new
+    connection at an engine that has nothing to do with it."""
     known = {(e.address, e.port) for e in asked}
+
+    def may_be_asked(address: Address) -> bool:
+        return address not in known and not is_silent(address)
+
     for address, port in kept:
-        if (address, port) not in known:
-            return Endpoint(0, "", asked[0].role, address, port)
+        if may_be_asked((address, port)):
+            return Endpoint(0, "", Role.MIXED, address, port)
     start = int.from_bytes(blake2b(name.encode(), digest_size=4).digest())
     for zone in (near, far) if len(asked) % 2 else (far, near):
-        rest = [e for e in zone if (e.address, e.port) not in known]
+        rest = [e for e in zone if may_be_asked((e.address, e.port))]
         if rest:
             return rest[start % len(rest)]
-    return asked[0]
+    return asked[0] if asked else None
--- a/heathford/platform/state_release.py
+++ b/heathford/platform/state_release.py
@@ -1,4 +1,4 @@
-"""Releases what is held for a request: engines are asked one after the other until one confirms it."""
+"""Releases what is held for a request: ever more engines are asked until one confirms it."""
 
 import asyncio
 from collections.abc import Callable
@@ -8,9 +8,10 @@
 
 from heathford.core.doors import Endpoint, ReleaseEvents
 from heathford.engines.letting_go import GONE
+from heathford.engines.pools import Address
 from heathford.platform.answers import LONGEST_LINE
 from heathford.platform.exchange import Exchange
-from heathford.platform.release_schedule import ReleaseSchedule, next_to_ask
+from heathford.platform.release_schedule import HOLDER_AT_ONCE, LEAST_ASKED, ReleaseSchedule, next_to_ask
 from heathford.wire.http1 import NonsenseError, Response, request
 
 if TYPE_CHECKING:
@@ -32,10 +33,13 @@
 class ReleaseCall(Exchange):
     """One DELETE to one engine; `status` once it has ended."""
 
+    link: "PlatformLink"
+
     def __init__(self, link: "PlatformLink", endpoint: Endpoint, name: str, patience: float) -> None:
         super().__init__(link, endpoint, patience)
         self.response = Response(LONGEST_LINE, LONGEST_LINE, strict=False)
         self.status: asyncio.Future[int] = self.loop.create_future()
+        link.silent_engines.was_asked((endpoint.address, endpoint.port), self.loop.time())
         self.connect(
             lambda: request("DELETE", ROOMS + name, endpoint.address, {}, b""), patience, urgent=True)
 
@@ -47,6 +51,8 @@
     def end(self, status: int, keep: bool = False) -> None:
         if not self.over:
             self.stop(keep)
+            if status != NO_ANSWER:
+                self.link.silent_engines.has_answered((self.endpoint.address, self.endpoint.port))
             self.status.set_result(status)
 
     def timed_out(self) -> None:
@@ -82,8 +88,8 @@
     """The release of all that is held for one request. waiting: started once it is over."""
 
     def __init__(self, link: "PlatformLink", holder: Endpoint, name: str, events: ReleaseEvents) -> None:
-        self.link, self.name = link, name
-        self.asked = [holder]
+        self.link, self.holder, self.name = link, holder, name
+        self.asked: list[Endpoint] = []
         self.listeners = [events]
         self.waiting: list[Startable] = []
         self.calls: dict[asyncio.Future[int], ReleaseCall] = {}  # not answered yet
@@ -113,24 +119,45 @@
                 call.end(NO_ANSWER)
 
     def ask_batch(self, schedule: ReleaseSchedule) -> None:
-        """The holder alone, later as many others as are due; each once, and the holder again after all."""
-        if len(self.asked) == 1 and not schedule.refused and not schedule.asked:
-            self.ask(schedule)
-            return
-        for _ in range(schedule.batch):
-            endpoint = next_to_ask(
-                self.name, self.asked, self.link.pools.heard_addresses(), *self.link.listed())
+        """One engine at first; later as many others as are due, each once, and the first again after all."""
+        batch = schedule.batch
+        for _ in range(batch):
+            endpoint = self.next_endpoint()
+            if endpoint is None:
+                schedule.nobody_is_left(self.link.loop.time())
+                return
             again = endpoint in self.asked
             self.asked.append(endpoint)
-            self.ask(schedule)
+            self.ask(endpoint, schedule)
             if again:
                 return
 
-    def ask(self, schedule: ReleaseSchedule) -> None:
-        """The last of `asked`."""
+    def next_endpoint(self) -> Endpoint | None:
+        """The holder first, then those that were heard last; silent ones only where there is nobody else."""
+        if not self.asked and not self.is_silent((self.holder.address, self.holder.port)):
+            return self.holder
+        found = self.other_endpoint(self.is_silent)
+        if found and found not in self.asked:
+            return found
+        if not self.asked:
+            return self.holder
+        if len(self.asked) < LEAST_ASKED:
+            found = self.other_endpoint(lambda address: False)
+        out = sum(call.endpoint is found for call in self.calls.values())
+        return found if out < HOLDER_AT_ONCE else None
+
+    def other_endpoint(self, is_silent: Callable[[Address], bool]) -> Endpoint | None:
+        near, far = self.link.listed()
+        kept = self.link.pools.heard_addresses()
+        return next_to_ask(self.name, self.asked, kept, near, far, is_silent)
+
+    def is_silent(self, address: Address) -> bool:
+        return self.link.silent_engines.is_silent(address, self.link.loop.time())
+
+    def ask(self, endpoint: Endpoint, schedule: ReleaseSchedule) -> None:
         now = self.link.loop.time()
         schedule.was_asked(now)
-        call = ReleaseCall(self.link, self.asked[-1], self.name, max(0.0, schedule.over_at - now))
+        call = ReleaseCall(self.link, endpoint, self.name, max(0.0, schedule.over_at - now))
         self.calls[call.status] = call
         self.tell(lambda events: events.asked(call.engine))
 
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -262,8 +262,21 @@
     """The kept connection used last, then near engines and far ones in turn; else the holder again."""
     found = {next_to_ask(
         f"c{n}", [E[i] for i in asked], [("127.0.0.1", i) for i in kept], [E[i] for i in near],
-        [E[i] for i in far]).port for n in range(40)}
-    assert found == then  # all of them: fronts that let go at once do not meet at one
+        [E[i] for i in far]) for n in range(40)}
+    # All of them: fronts that let go at once do not meet at one.
+    assert {endpoint.port for endpoint in found if endpoint} == then
+
+
+@pytest.mark.parametrize("asked, kept, near, far, silent, then", [
+    ([0], [3, 2], [1, 2], [4], {3}, 2), ([0], [3], [1, 2], [4], {3, 1}, 2), ([0], [3], [1], [4], {3, 1}, 4),
+    ([0], [3], [1], [4], {3, 1, 4}, 0), ([], [3], [1], [4], {3, 1, 4}, None), ([], [3, 2], [1], [], {3}, 2)])
+def test_silent_engines_are_passed_over(
+    asked: list[int], kept: list[int], near: list[int], far: list[int], silent: set[int], then: int | None
+) -> None:
+    found = next_to_ask(
+        "c", [E[i] for i in asked], [("127.0.0.1", i) for i in kept], [E[i] for i in near],
+        [E[i] for i in far], lambda address: address[1] in silent)
+    assert (found.port if found else None) == then
 
 
 def test_a_dead_holder_that_is_alone_is_not_asked_in_a_row(engine: Engine) -> None:
