--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -229,15 +229,17 @@
         seen: list[Record] = []
         front = FrontProcess("n0", tmp_path, settings(), 2 * [await agent.open()], [], seen.append)
         await front.start()
-        assert not front.may_be_reloaded()
-        async with asyncio.timeout(10.0):
-            await front.suffer(Kind.RELOAD, 0.0)
-        assert monotonic() >= front.started_at + 1.0 and front.address.ready
-        await front.suffer(Kind.SIGNAL_SERIES, 0.0)  # ends it, and starts it anew
-        front.ends = True
-        await front.tell_to_end(Kind.SIGNAL_SERIES)  # at once: SIGTERM alone
-        await asyncio.sleep(1.0)
-        await front.stop()
-        agent.close()
+        try:
+            assert not front.may_be_reloaded()
+            async with asyncio.timeout(10.0):
+                await front.suffer(Kind.RELOAD, 0.0)
+            assert monotonic() >= front.started_at + 1.0 and front.address.ready
+            await front.suffer(Kind.SIGNAL_SERIES, 0.0)  # ends it, and starts it anew
+            front.ends = True
+            await front.tell_to_end(Kind.SIGNAL_SERIES)  # at once: SIGTERM alone
+            await asyncio.sleep(1.0)
+        finally:
+            await front.stop()
+            agent.close()
         return seen
     assert [record for record in asyncio.run(day()) if record.text] == []
