--- a/heathford/soak/front.py
+++ b/heathford/soak/front.py
@@ -46,6 +46,7 @@
         Kind.RECV_SHORT,
         Kind.LINK_BREAKS,
         Kind.LOG_FAILS,
+        Kind.LOOKS_FAIL,
     }
 )
 
--- a/heathford/soak/hook/sitecustomize.py
+++ b/heathford/soak/hook/sitecustomize.py
@@ -5,9 +5,11 @@
 """
 
 import errno
+import fcntl
 import json
 import os
 import random
+import select
 import socket
 import time
 from typing import Any
@@ -129,6 +131,40 @@
     os.write = written
 
 
+class Poll:
+    """As select.poll, whose objects can't be changed."""
+
+    def __init__(self) -> None:
+        self.real = POLL()
+        self.register, self.modify = self.real.register, self.real.modify
+
+    def poll(self, timeout: float | None = None) -> list[tuple[int, int]]:
+        if fails("LOOKS_FAIL"):
+            raise OSError(errno.ENOMEM, "shim")
+        return self.real.poll(timeout)
+
+
+POLL = select.poll
+
+
+def fail_looks() -> None:
+    shutdown, ioctl = socket.socket.shutdown, fcntl.ioctl
+
+    def shut(self: socket.socket, how: int) -> None:
+        if fails("LOOKS_FAIL"):
+            raise OSError(errno.ENOTCONN, "shim")
+        shutdown(self, how)
+
+    def asked(descriptor: Any, *rest: Any) -> Any:
+        if fails("LOOKS_FAIL"):
+            raise OSError(errno.EINVAL, "shim")
+        return ioctl(descriptor, *rest)
+
+    select.poll = Poll  # type: ignore[misc, assignment]
+    socket.socket.shutdown = shut  # type: ignore[method-assign, assignment]
+    fcntl.ioctl = asked
+
+
 if SHIMS:
     step_clock()
     fail_accept()
@@ -136,3 +172,4 @@
     fail_send()
     fail_recv()
     fail_logs()
+    fail_looks()
--- a/heathford/soak/plan.py
+++ b/heathford/soak/plan.py
@@ -50,6 +50,7 @@
     CROWD = "clients: idle connections fill a front node's descriptors"
     CLIENTS_LEAVE = "clients: close in mid-request or while they wait"
     CLIENTS_BAD = "clients: half requests, nonsense, silence"
+    LOOKS_FAIL = "front: poll, shutdown and ioctl fail"
     ENGINE_STOPPED = "engine: stopped; its machine takes what comes until its accept queue is full"
 
 
--- a/heathford/wire/socket_state.py
+++ b/heathford/wire/socket_state.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 UNCONFIRMED = 0x5411  # SIOCOUTQ: bytes in the send queue that the peer has not confirmed
+LOOKS = 3  # of which one has to succeed: the system may have no memory for a moment
 UNSENT = 0x894B  # SIOCOUTQNSD: those of them that have not been sent at all
 
 
@@ -28,11 +29,13 @@
     """What poll(2) tells of a descriptor now; None where the system has no memory to say it."""
     poll = select.poll()
     poll.register(descriptor, select.POLLIN | select.POLLRDHUP)
-    try:
-        found = poll.poll(0)
-    except OSError:
-        return None
-    return found[0][1] if found else 0
+    for _ in range(LOOKS):
+        try:
+            found = poll.poll(0)
+        except OSError:
+            continue
+        return found[0][1] if found else 0
+    return None
 
 
 def state_of(transport: asyncio.Transport | None) -> SocketState:
