The soak: two failing tests, of a front node's port and of its last words

Status 2 is a refused start: settings that can't be used (the same for n0 to n2, which started) or a port that can't be listened on. free_port() lets the port it has tried go until the process listens, 0.2 to 0.5 s later. What the process itself said of it is dropped (FrontProcess.heed), so the log can't tell more.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The soak: its plans, its oracle against one seeded breach of each rule, and a few seconds of one seed."""
 
 import asyncio
+import socket
 from collections.abc import Sequence
 from dataclasses import replace
 from pathlib import Path
@@ -246,3 +247,26 @@
             agent.close()
         return seen
     assert [record for record in asyncio.run(day()) if record.text] == []
+
+
+def test_the_port_of_a_front_node_is_kept_for_it(tmp_path: Path) -> None:
+    """From its choice to the end of the run, across restarts: one that is let go for the moment until the
+    process listens is another's by then, now and then, and the process ends with status 2."""
+    front = FrontProcess("n0", tmp_path, settings(), [""], [], [].append)
+    with socket.socket() as other, pytest.raises(OSError, match="in use"):
+        other.bind(("127.0.0.1", front.address.port))
+    for _ in range(2):
+        with socket.create_server(("127.0.0.1", front.address.port)):
+            pass
+
+
+def test_a_front_node_that_does_not_start_is_told_with_its_last_words(tmp_path: Path) -> None:
+    async def day() -> None:
+        front = FrontProcess("n0", tmp_path, {"categories": [{"deadlineNs": 1}]}, ["h:1"], [], seen.append)
+        await front.start()
+        assert front.reading
+        await front.reading
+    seen: list[Record] = []
+    asyncio.run(day())
+    [breach] = Oracle(seen, LIMITS).judge()
+    assert breach.rule == "crash" and "status 2" in breach.what and "settings can't be used" in breach.what
