The soak keeps a front node's port for it, and tells why one did not start

Cause: free_port() in soak/front.py closed the port that it had tried; whoever was given it before the front node listened (another front node drawing the same of 10,000, a connection where the system's own range is lower, another program) made the start fail with status 2. Ruled out: settings (n0 to n2 started with the same), shims (none is active before second 0).

Change: a socket stays bound to the port from its choice to the end of the run, bound before it sets SO_REUSEADDR: the system gives the port to nobody else, and the front node, which sets the option, may listen. An unexpected end is told with the last lines that are no JSON.

--- a/heathford/soak/front.py
+++ b/heathford/soak/front.py
@@ -5,11 +5,11 @@
 import signal
 import socket
 import sys
+from collections import deque
 from collections.abc import Callable
 from contextlib import suppress
 from math import inf
 from pathlib import Path
-from random import Random
 from time import monotonic
 from typing import Any
 
@@ -22,7 +22,7 @@
 
 Note = Callable[[Record], None]
 HOOK = Path(__file__).parent / "hook"
-PORTS = (20_000, 30_000)  # below those that connections are given
+LAST_WORDS = 3  # lines that are no JSON, told of a process that ends unexpectedly
 LONGEST_COUNTED = 3.0  # s of the deployment's longest deadline that count for the kill
 PAST_DEADLINE = 0.7  # s after that, from SIGTERM, at which SIGKILL comes at the earliest
 NEW_CONNECTIONS = 0.3  # s from SIGTERM for which clients still open new ones
@@ -51,13 +51,17 @@
 )
 
 
-def free_port() -> int:
-    """One that no connection of this machine is given by chance: a front node starts on it more than once."""
-    random = Random()
-    while True:
-        port = random.randrange(*PORTS)
-        with suppress(OSError), socket.create_server(("127.0.0.1", port)):
-            return port
+def reserved_port() -> socket.socket:
+    """A socket bound to a port of its own, on which others may listen that set SO_REUSEADDR.
+
+    As long as it is open, the system gives the port to nobody else, neither to a connection nor to a
+    socket that asks for any port: a front node starts on it more than once. Two of these never share a
+    port, since each is bound before it sets the option.
+    """
+    reserved = socket.socket()
+    reserved.bind(("127.0.0.1", 0))
+    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    return reserved
 
 
 class FrontProcess:
@@ -76,7 +80,9 @@
         self.discoveries, self.shims = discoveries, shims
         longest = max(category["deadlineNs"] for category in settings["categories"]) / SECOND
         self.to_the_kill = min(longest, LONGEST_COUNTED) + PAST_DEADLINE
-        self.address = FrontAddress(name, free_port())
+        self.reserved = reserved_port()
+        self.address = FrontAddress(name, self.reserved.getsockname()[1])
+        self.last_words: deque[str] = deque(maxlen=LAST_WORDS)
         self.path = folder / f"{name}.json"
         self.process: asyncio.subprocess.Process | None = None
         self.reading: asyncio.Task[None] | None = None
@@ -101,6 +107,7 @@
     async def start(self) -> None:
         self.ends = False
         self.violations_told = 0
+        self.last_words.clear()
         self.started_at, self.ready_at = monotonic(), inf
         self.configure()
         self.process = await asyncio.create_subprocess_exec(
@@ -135,12 +142,13 @@
         if not self.over:
             early = status == -signal.SIGTERM and monotonic() - began < INTERPRETER_STARTS
             expected = self.ends and (status in (0, -signal.SIGKILL) or early)
-            self.say(Seen.EXIT, status, "" if expected else "unexpected")
+            self.say(Seen.EXIT, status, "" if expected else f"unexpected: {' / '.join(self.last_words)}")
 
     def heed(self, line: bytes) -> None:
         try:
             said = orjson.loads(line)
         except orjson.JSONDecodeError:
+            self.last_words.append(line.decode(errors="replace").strip())
             if b"Traceback" in line or b"Error" in line:
                 self.say(Seen.LOG, text=line.decode(errors="replace").strip())
             return
@@ -246,3 +254,4 @@
             self.process.kill()
         if self.reading:
             await asyncio.wait({self.reading})
+        self.reserved.close()
--- a/heathford/soak/oracle.py
+++ b/heathford/soak/oracle.py
@@ -394,7 +394,7 @@
         first: dict[str, Record] = {}
         for record in self.records:
             if record.kind is Seen.EXIT and record.text:
-                self.breach("crash", record.time, record.front, f"status {record.value:.0f}")
+                self.breach("crash", record.time, record.front, f"status {record.value:.0f}, {record.text}")
             elif record.kind is Seen.WAITED:
                 over = record.value - OWED_WITHIN
                 if over > self.allowance(record.front, record.time - record.value, record.time):
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -252,12 +252,14 @@
 def test_the_port_of_a_front_node_is_kept_for_it(tmp_path: Path) -> None:
     """From its choice to the end of the run, across restarts: one that is let go for the moment until the
     process listens is another's by then, now and then, and the process ends with status 2."""
-    front = FrontProcess("n0", tmp_path, settings(), [""], [], [].append)
+    seen: list[Record] = []
+    front = FrontProcess("n0", tmp_path, settings(), [""], [], seen.append)
     with socket.socket() as other, pytest.raises(OSError, match="in use"):
         other.bind(("127.0.0.1", front.address.port))
     for _ in range(2):
         with socket.create_server(("127.0.0.1", front.address.port)):
             pass
+    asyncio.run(front.stop())
 
 
 def test_a_front_node_that_does_not_start_is_told_with_its_last_words(tmp_path: Path) -> None:
@@ -266,6 +268,7 @@
         await front.start()
         assert front.reading
         await front.reading
+        await front.stop()
     seen: list[Record] = []
     asyncio.run(day())
     [breach] = Oracle(seen, LIMITS).judge()
