A start and a reload wait out system calls that fail for a moment

Cause: platform/process.py tried to listen once (Node.start), platform/start.py read the configuration once (told): EADDRINUSE, EMFILE, ENFILE, ENOBUFS, ENOMEM or EIO ended the process with status 2, or lost the SIGHUP, after which the old discovery ends.

What can't be used for that long is told as before.

--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -23,6 +23,7 @@
 from heathford.log_stream import LOGS
 from heathford.platform.client_server import STILL_ASKED, SWEEP, ClientServer
 from heathford.platform.link import PlatformLink
+from heathford.platform.reload import ConfigurationReload
 from heathford.platform.start import StartError, address_of, from_environment, seed_of, told
 from heathford.wire.http1 import NonsenseError
 from heathford.wire.socket_state import flags_of
@@ -35,6 +36,8 @@
 CLIENT_PART = 0.55  # of the others: clients hold a third of all for requests, idle ones come beside them
 ACCEPT_AGAIN = 0.02  # s until connections are accepted again after the system had no room for one
 BACKLOG = 1024  # connections that wait in the socket
+LISTEN_PATIENCE = 3.0  # s for which an address may be taken, or a socket be refused: ready within 6 s counts
+LISTEN_AGAIN = 0.05  # s between two tries
 END_LOOK = 0.05  # s between two looks at whether all has ended: small beside the 0.7 s until a kill
 TIDY = 8  # sweeps between two full collections of garbage, 2 s: completions and their dispatches point to
 # each other, and left to its own pace the collector let ten times as many pile up; one takes about 3 ms
@@ -92,6 +95,7 @@
         self.ending = asyncio.Event()
         self.known = told.get("known")
         self.server: asyncio.Server | None = None
+        self.reload = ConfigurationReload(self.loop, path, self.configuration_read).begin
         self.sweeps = 0
         self.lag = 0.0  # the longest that the loop ran behind since it was last told
 
@@ -109,10 +113,9 @@
         # agent is silent: then that list is all there is.
         if not await self.watch.first(FIRST_LIST):
             log.warning("no list yet", known=len(self.instances.rows))
-        try:
-            sock = socket.create_server(self.listen, backlog=BACKLOG)
-        except OSError as problem:
-            raise StartError(f"NODE_LISTEN can't be listened on: {problem}") from None
+        sock = await self.listening_socket()
+        if sock is None:
+            return
         sock.setblocking(False)
         # Guards against a moment's ENFILE, ENOBUFS or ENOMEM, after which asyncio accepts nothing for a
         # second. Costs fifty calls to the kernel a second while it lasts. There is no other way to say it.
@@ -124,6 +127,26 @@
         self.sweep()
         self.tell()
 
+    async def listening_socket(self) -> socket.socket | None:
+        """None if the process is told to end first. Raises StartError once LISTEN_PATIENCE is over.
+
+        Guards against a refused start where another socket has the port, or the system has no room for one,
+        for a moment. Could harm by telling a wrong NODE_LISTEN later.
+        """
+        gives_up = self.loop.time() + LISTEN_PATIENCE
+        told_of = False
+        while not self.ending.is_set():
+            try:
+                return socket.create_server(self.listen, backlog=BACKLOG)
+            except OSError as problem:
+                if self.loop.time() >= gives_up:
+                    raise StartError(f"NODE_LISTEN can't be listened on: {problem}") from None
+                if not told_of:
+                    log.warning("can't listen yet", why=str(problem))
+                told_of = True
+            await asyncio.sleep(LISTEN_AGAIN)
+        return None
+
     def list_changed(self, change: ListChange) -> None:
         self.core.list_changed(change.complete, change.rows)
 
@@ -169,14 +192,9 @@
             fields["what"] = fields.pop("event")  # the log's own name for the kind of line
             log.info("history", wall=round(record.time + wall_ahead, 3), **fields)
 
-    def reload(self) -> None:
-        """SIGHUP: follows discovery where the configuration now says it is. One that can't be used is told,
-        and the old one kept; whatever else it changes counts from the next start."""
-        try:
-            found = told(self.path)
-        except StartError as problem:
-            log.error("configuration not taken", why=str(problem))
-            return
+    def configuration_read(self, found: Mapping[str, Any]) -> None:
+        """SIGHUP: follows discovery where the configuration now says it is; whatever else that changes counts
+        from the next start."""
         discovery = address_of(found["discovery"], "discovery")
         log.info("configuration read", discovery=f"{discovery[0]}:{discovery[1]}")
         if discovery != (self.watch.address, self.watch.port):
--- a/heathford/platform/start.py
+++ b/heathford/platform/start.py
@@ -1,5 +1,6 @@
 """What the platform tells a front node at its start, by variables and a file: checked, mistakes told."""
 
+import time
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any
@@ -8,6 +9,8 @@
 
 from heathford.bootinfo import SettingError, figure, figures_of, found, named, places
 
+READS_AT_START = 25  # of the configuration, at most: the system may have no descriptor for a moment
+READ_AGAIN = 0.02  # s between two of them
 VARIABLES = ("NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY", "NODE_CONFIG")
 
 
@@ -22,14 +25,41 @@
     return host, int(port)
 
 
-def told(path: Path) -> dict[str, Any]:
-    """The configuration, checked as far as it will be used. Raises StartError."""
+def read_json(path: Path) -> Any:
+    """Raises StartError."""
     try:
-        said = orjson.loads(path.read_bytes())
+        return orjson.loads(path.read_bytes())
     except OSError as problem:
         raise StartError(f"the configuration can't be read: {problem}") from None
     except orjson.JSONDecodeError as problem:
         raise StartError(f"the configuration is no JSON: {problem}") from None
+
+
+def read_json_patiently(path: Path) -> Any:
+    """Blocks for up to READS_AT_START * READ_AGAIN s. Raises StartError, with the last problem.
+
+    Guards against a refused start where a descriptor or memory is missing for a moment.
+    """
+    for _ in range(READS_AT_START - 1):
+        try:
+            return read_json(path)
+        except StartError:
+            time.sleep(READ_AGAIN)
+    return read_json(path)
+
+
+def told(path: Path) -> dict[str, Any]:
+    """The configuration at a start, checked as far as it will be used. Raises StartError."""
+    return checked(read_json_patiently(path))
+
+
+def told_anew(path: Path) -> dict[str, Any]:
+    """The configuration at a reload: read once, without waiting. Raises StartError."""
+    return checked(read_json(path))
+
+
+def checked(said: Any) -> dict[str, Any]:
+    """Raises StartError unless all that will be used is there, and in its form."""
     if not isinstance(said, dict):
         raise StartError("the configuration is no JSON object")
     for key in ("limits", "settings"):
