Three failing tests: sends, reads, epoll_ctl and connect refused for want of memory

Tried now, with its relatives: ENOBUFS and ENOMEM of send and recv, for which asyncio's transports end the connection, and EAGAIN of connect(2).

--- /dev/null
+++ b/tests/test_refused_calls.py
@@ -0,0 +1,122 @@
+"""Calls on sockets, and on what watches them, that the system refuses for a moment for want of memory.
+
+Nothing has happened then, to no connection: each is made again, and no request and no engine pays for it.
+"""
+
+import errno
+import itertools
+import selectors
+import socket
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from raw_peers import Day, request, run_day, until
+
+from heathford.standin.platform import GOOD, READ
+
+NO_MEMORY = (errno.ENOBUFS, errno.ENOMEM)
+REQUESTS = 6
+
+
+def every_second(numbers: tuple[int, ...]) -> Iterator[int]:
+    """For each call in turn: the error that it meets, or 0."""
+    for number in itertools.cycle(numbers):
+        yield number
+        yield 0
+
+
+def refuse(monkeypatch: pytest.MonkeyPatch, name: str, ports: set[int], listening: int) -> None:
+    """Every second call of that name fails, on a front node's own connections."""
+    call, errors = getattr(socket.socket, name), every_second(NO_MEMORY)
+
+    def refused(self: socket.socket, *given: Any) -> Any:
+        try:
+            own = self.getsockname()[1] == listening or self.getpeername()[1] in ports
+        except OSError:
+            own = False
+        if own and (number := next(errors)):
+            raise OSError(number, "for a moment")
+        return call(self, *given)
+
+    monkeypatch.setattr(socket.socket, name, refused)
+
+
+async def serve_some(play: Day) -> None:
+    """Requests one after another on a connection, each streamed whole, and no engine blamed."""
+    a, b = play.engines
+    client = play.client()
+    for number in range(REQUESTS):
+        client.say(request(f"c{number}"))
+        (await a.asked(number + 1)).sock.sendall(READ)
+        (await b.asked(number + 1)).sock.sendall(GOOD)
+        await until(lambda number=number: client.whole == number + 1, f"stream {number}")  # type: ignore[misc]
+    assert client.answers == REQUESTS * [200]
+    assert all(not e.failures and not e.rests for e in play.node.core.router.engines.values())
+    assert (a.posts, b.posts) == (REQUESTS, REQUESTS)
+
+
+def test_requests_are_served_where_sends_and_reads_are_refused_for_a_moment(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Seen before: the event loop's transports take every such error for the end of the connection."""
+    async def day(play: Day) -> None:
+        ports = {engine.listener.getsockname()[1] for engine in play.engines}
+        for name in ("send", "recv"):
+            refuse(monkeypatch, name, ports, play.node.listen[1])
+        await serve_some(play)
+    run_day(tmp_path, day)
+
+
+class FailingEpoll:
+    """As select.epoll, but that every second change of what is watched fails."""
+
+    def __init__(self) -> None:
+        self.real = selectors.select.epoll()  # type: ignore[attr-defined]
+        self.poll, self.unregister, self.close = self.real.poll, self.real.unregister, self.real.close
+        self.fileno = self.real.fileno
+        self.errors = every_second((errno.ENOMEM, errno.ENOSPC))
+
+    def register(self, descriptor: int, events: int) -> None:
+        if number := next(self.errors):
+            raise OSError(number, "for a moment")
+        self.real.register(descriptor, events)
+
+    def modify(self, descriptor: int, events: int) -> None:
+        if number := next(self.errors):
+            raise OSError(number, "for a moment")
+        self.real.modify(descriptor, events)
+
+
+def test_requests_are_served_where_connections_can_not_be_watched_for_a_moment(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(selectors.EpollSelector, "_selector_cls", FailingEpoll)
+    run_day(tmp_path, serve_some)
+
+
+def test_a_connect_that_the_system_puts_off_is_made_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """EAGAIN of connect(2): nothing is on its way, where the event loop waits for it, and finds it there."""
+    async def day(play: Day) -> None:
+        ports = {engine.listener.getsockname()[1] for engine in play.engines}
+        connect, left = socket.socket.connect, 3
+
+        def put_off(self: socket.socket, address: Any) -> None:
+            nonlocal left
+            if address[1] in ports and left:
+                left -= 1
+                raise BlockingIOError(errno.EAGAIN, "for a moment")
+            connect(self, address)
+
+        monkeypatch.setattr(socket.socket, "connect", put_off)
+        client = play.client()
+        client.say(request("c0", request_class="booking"))
+        (await play.engines[0].asked()).sock.sendall(READ)
+        (await play.engines[1].asked()).sock.sendall(GOOD)
+        await until(lambda: client.whole == 1, "the stream's end")
+        assert not left
+        assert all(not e.failures and not e.rests for e in play.node.core.router.engines.values())
+    run_day(tmp_path, day)
