An event loop of the front node's own: calls refused for want of memory are made again

Cause: asyncio's transports (selector_events._fatal_error) end a connection at ENOBUFS or ENOMEM of send(2) and recv(2), an answer or an attempt with it; an epoll_ctl(2) that fails (ENOMEM, ENOSPC) leaves a connection unread, or raises out of a write; EAGAIN of connect(2) counts as a connection on its way.

Change: heathford/event_loop.py, used by run and by the tests with raw peers.

--- a/heathford/cli/main.py
+++ b/heathford/cli/main.py
@@ -79,10 +79,12 @@
 @cli.command()
 def platform() -> None:
     """Runs one front node of the platform, as its NODE_* variables tell; exits 2 where they can't be used."""
+    from heathford.event_loop import new_event_loop
     from heathford.platform.process import run_node
     from heathford.platform.start import StartError
     try:
-        asyncio.run(run_node(os.environ))
+        with asyncio.Runner(loop_factory=new_event_loop) as runner:
+            runner.run(run_node(os.environ))
     except StartError as problem:
         click.echo(f"heathford: {problem}", err=True)
         sys.exit(2)
--- a/tests/raw_peers.py
+++ b/tests/raw_peers.py
@@ -15,6 +15,7 @@
 
 import orjson
 
+from heathford.event_loop import new_event_loop
 from heathford.platform.process import Node
 from heathford.platform.start import told
 from heathford.standin.platform import EVENTS, GOOD, READ, Agent, settings
@@ -288,7 +289,8 @@
     async def play() -> None:
         async with front_node(folder, *(engines or (prefill(), decode())), **more) as made:
             await day(made)
-    asyncio.run(play())
+    with asyncio.Runner(loop_factory=new_event_loop) as runner:
+        runner.run(play())
 
 
 @contextmanager
--- a/tests/test_refused_calls.py
+++ b/tests/test_refused_calls.py
@@ -5,6 +5,8 @@
 
 import errno
 import itertools
+import os
+import select
 import selectors
 import socket
 from collections.abc import Iterator
@@ -14,10 +16,12 @@
 import pytest
 from raw_peers import Day, request, run_day, until
 
+from heathford.event_loop import RetryingEpoll, RetryingSocket, new_event_loop
 from heathford.standin.platform import GOOD, READ
 
 NO_MEMORY = (errno.ENOBUFS, errno.ENOMEM)
 REQUESTS = 6
+EPOLL = select.epoll
 
 
 def every_second(numbers: tuple[int, ...]) -> Iterator[int]:
@@ -73,26 +77,32 @@
     """As select.epoll, but that every second change of what is watched fails."""
 
     def __init__(self) -> None:
-        self.real = selectors.select.epoll()  # type: ignore[attr-defined]
-        self.poll, self.unregister, self.close = self.real.poll, self.real.unregister, self.real.close
-        self.fileno = self.real.fileno
+        self.real = EPOLL()
+        self.poll, self.close, self.fileno = self.real.poll, self.real.close, self.real.fileno
         self.errors = every_second((errno.ENOMEM, errno.ENOSPC))
 
-    def register(self, descriptor: int, events: int) -> None:
+    def refuse(self) -> None:
         if number := next(self.errors):
             raise OSError(number, "for a moment")
+
+    def register(self, descriptor: int, events: int) -> None:
+        self.refuse()
         self.real.register(descriptor, events)
 
     def modify(self, descriptor: int, events: int) -> None:
-        if number := next(self.errors):
-            raise OSError(number, "for a moment")
+        self.refuse()
         self.real.modify(descriptor, events)
 
+    def unregister(self, descriptor: int) -> None:
+        self.refuse()
+        self.real.unregister(descriptor)
+
 
 def test_requests_are_served_where_connections_can_not_be_watched_for_a_moment(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    monkeypatch.setattr(selectors.EpollSelector, "_selector_cls", FailingEpoll)
+    monkeypatch.setattr(select, "epoll", FailingEpoll)
+    monkeypatch.setattr(selectors.EpollSelector, "_selector_cls", FailingEpoll)  # of asyncio's own loop
     run_day(tmp_path, serve_some)
 
 
@@ -120,3 +130,65 @@
         assert not left
         assert all(not e.failures and not e.rests for e in play.node.core.router.engines.values())
     run_day(tmp_path, day)
+
+
+def test_a_descriptor_is_watched_and_forgotten_once_the_system_lets_it(
+    monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(select, "epoll", FailingEpoll)
+    epoll = RetryingEpoll()
+    near, far = socket.socketpair()
+    far.send(b"x")
+    epoll.register(near.fileno(), select.EPOLLIN)
+    assert epoll.poll(1.0) == [(near.fileno(), select.EPOLLIN)]
+    epoll.unregister(near.fileno())
+    assert epoll.poll(0.0) == [] and not epoll.refused
+    epoll.register(near.fileno(), select.EPOLLOUT)
+    epoll.modify(near.fileno(), select.EPOLLIN)
+    assert epoll.poll(1.0) == [(near.fileno(), select.EPOLLIN)]
+    for sock in (near, far, epoll):
+        sock.close()
+
+
+def test_a_descriptor_that_was_closed_unseen_is_watched_anew() -> None:
+    epoll = RetryingEpoll()
+    near, far = socket.socketpair()
+    epoll.register(near.fileno(), select.EPOLLIN)
+    descriptor = near.detach()
+    os.close(descriptor)
+    epoll.unregister(descriptor + 1)  # never known
+    again = os.dup2(far.fileno(), descriptor)
+    epoll.register(again, select.EPOLLOUT)
+    assert epoll.poll(1.0)[0][0] == again
+    os.close(again)
+    far.close()
+    epoll.close()
+
+
+def test_an_event_loop_is_had_once_there_is_a_descriptor(monkeypatch: pytest.MonkeyPatch) -> None:
+    left = 3
+
+    def refused() -> Any:
+        nonlocal left
+        left -= 1
+        if left > 0:
+            raise OSError(errno.EMFILE, "for a moment")
+        return EPOLL()
+
+    monkeypatch.setattr(select, "epoll", refused)
+    new_event_loop().close()
+    assert not left
+
+
+def test_the_error_of_a_close_is_kept_from_the_event_loop(monkeypatch: pytest.MonkeyPatch) -> None:
+    near, far = socket.socketpair()
+    taken = RetryingSocket.taking(near)
+    with monkeypatch.context() as patch:
+        patch.setattr(socket.socket, "close", lambda self: fail(errno.EIO))
+        taken.close()
+    taken.close()
+    far.close()
+
+
+def fail(number: int) -> None:
+    raise OSError(number, "for a moment")
