The soak refuses sends, reads and epoll_ctl for want of memory, in the kinds it has

Half of the calls that SEND_SHORT and RECV_SHORT cut short are interrupted (0.3) or meet ENOBUFS or ENOMEM (0.2); LOOKS_FAIL fails epoll_ctl as well.

--- a/heathford/soak/hook/sitecustomize.py
+++ b/heathford/soak/hook/sitecustomize.py
@@ -10,6 +10,7 @@
 import os
 import random
 import select
+import selectors
 import socket
 import time
 from typing import Any
@@ -17,6 +18,9 @@
 SHIMS = json.loads(os.environ.get("SOAK_SHIMS", "[]"))
 CHANCE = 0.3  # of the calls in its time that a shim fails
 INTERRUPTED = 0.3  # of the short calls
+REFUSED = 0.2  # of the short calls
+NO_MEMORY = (errno.ENOBUFS, errno.ENOMEM)
+NOT_WATCHED = (errno.ENOMEM, errno.ENOSPC)
 BREAKS = 0.02  # of the calls on a connection while links break
 LOGS = 2  # the descriptor of standard error
 draw = random.Random(os.getpid())
@@ -83,9 +87,12 @@
 
 
 def interrupt() -> None:
-    """Some of the calls that are cut short are interrupted instead."""
-    if draw.random() < INTERRUPTED:
+    """Some of the calls that are cut short are interrupted or refused instead."""
+    part = draw.random()
+    if part < INTERRUPTED:
         raise InterruptedError(errno.EINTR, "shim")
+    if part < INTERRUPTED + REFUSED:
+        raise OSError(draw.choice(NO_MEMORY), "shim")
 
 
 def break_link() -> None:
@@ -144,7 +151,33 @@
         return self.real.poll(timeout)
 
 
+class Epoll:
+    """As select.epoll, whose objects can't be changed."""
+
+    def __init__(self) -> None:
+        self.real = EPOLL()
+        self.poll, self.fileno, self.close = self.real.poll, self.real.fileno, self.real.close
+
+    def register(self, descriptor: int, events: int) -> None:
+        refuse_to_watch()
+        self.real.register(descriptor, events)
+
+    def modify(self, descriptor: int, events: int) -> None:
+        refuse_to_watch()
+        self.real.modify(descriptor, events)
+
+    def unregister(self, descriptor: int) -> None:
+        refuse_to_watch()
+        self.real.unregister(descriptor)
+
+
+def refuse_to_watch() -> None:
+    if fails("LOOKS_FAIL"):
+        raise OSError(draw.choice(NOT_WATCHED), "shim")
+
+
 POLL = select.poll
+EPOLL = select.epoll
 
 
 def fail_looks() -> None:
@@ -161,6 +194,8 @@
         return ioctl(descriptor, *rest)
 
     select.poll = Poll  # type: ignore[misc, assignment]
+    select.epoll = Epoll  # type: ignore[misc, assignment]
+    selectors.EpollSelector._selector_cls = Epoll  # type: ignore[attr-defined]
     socket.socket.shutdown = shut  # type: ignore[method-assign, assignment]
     fcntl.ioctl = asked
 
--- a/heathford/soak/plan.py
+++ b/heathford/soak/plan.py
@@ -25,8 +25,8 @@
     CLOCK = "front: its wall clock steps"
     ACCEPT_FAILS = "front: accept fails"
     CONNECT_FAILS = "front: connect and socket fail"
-    SEND_SHORT = "front: short sends and EINTR"
-    RECV_SHORT = "front: short reads and EINTR"
+    SEND_SHORT = "front: short sends, EINTR, no memory to send"
+    RECV_SHORT = "front: short reads, EINTR, no memory to read"
     LINK_BREAKS = "front: ETIMEDOUT or EHOSTUNREACH on a connection"
     LOG_FAILS = "front: writes of its log fail"
     ENGINE_DRAINS = "engine: drains, is replaced by a cold one"
@@ -50,7 +50,7 @@
     CROWD = "clients: idle connections fill a front node's descriptors"
     CLIENTS_LEAVE = "clients: close in mid-request or while they wait"
     CLIENTS_BAD = "clients: half requests, nonsense, silence"
-    LOOKS_FAIL = "front: poll, shutdown and ioctl fail"
+    LOOKS_FAIL = "front: poll, shutdown, ioctl and epoll_ctl fail"
     ENGINE_STOPPED = "engine: stopped; its machine takes what comes until its accept queue is full"
 
 
