Ages of engines stand on no wall clock where one that is ahead would hide cold ones

Cause: fleet/instances.py, keep_time, took the wall clock of the first list for true time, for good; row counted every start from it. One that is ahead as a process starts makes each engine that starts later look warm.

A start told after discovery's first list counts from when it is told. Of the first list, those started within the time to warm of the newest count as if that had started just now, unless they are half of their role or the newest is over two hours old. An engine that is listed again keeps its age.

--- a/heathford/fleet/instances.py
+++ b/heathford/fleet/instances.py
@@ -1,23 +1,35 @@
 """The platform's list of instances: whole lists and watch lines into rows for the core; no I/O."""
 
 from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
 from math import isfinite
 from typing import Any
 
 from heathford.core.doors import Endpoint
+from heathford.fleet.engine_ages import EngineAges, ToldStart
 from heathford.fleet.follow import ListError, Row, number_of
 from heathford.interface import Health, Role
 from heathford.wire.http1 import json_object
 
 STATES = {"SERVING": Health.ON, "DRAINING": Health.DRAINING, "DELETED": Health.GONE}
 LONGEST = 4_194_304  # bytes of a list: thousands of engines
-MOST_GONE = 1_024  # instances remembered as gone in case discovery goes back: as many as lists have
-CLOCK_BEHIND = 7_200.0  # s that the wall clock may be behind a start that is told: more is taken for nonsense
+MOST_GONE = 4_096  # instances remembered as gone in case discovery goes back: more than lists have
 HEALTH_ORDER = (Health.ON, Health.DRAINING, Health.GONE)  # the later, the less may be sent there
 
 
+@dataclass(frozen=True)
+class Started:
+    """boot: as told. at: s on the front's clock, 0 if long ago."""
+
+    boot: int
+    at: float
+
+
+LONG_AGO = Started(0, 0.0)
+
+
 class Instances:
-    """The list as last told. kinds: name to place and role; zones: names to places.
+    """The list as last told. kinds: name to place and role; zones: names to places; warm_after: s.
 
     An entry that can't be read is passed over, told by `passed`. A change of an older version than the one
     held is replayed, and dropped. A whole list of an older version, given in answer to a call, says that
@@ -25,15 +37,17 @@
     again as far as it was, no process that was drained or gone is taken to serve.
     """
 
-    def __init__(self, kinds: Mapping[str, tuple[int, Role]], zones: Sequence[str]) -> None:
+    def __init__(
+        self, kinds: Mapping[str, tuple[int, Role]], zones: Sequence[str], warm_after: float = 0.0
+    ) -> None:
         self.kinds, self.zones = kinds, {zone: place for place, zone in enumerate(zones)}
         self.version = -1
         self.newest = -1  # the latest version seen; more than `version` while discovery has gone back
-        self.gone: dict[str, int] = {}  # starts (as told) of instances that have gone, by uid
+        self.gone: dict[str, Started] = {}  # starts of instances that have gone, by uid
         self.rows: dict[str, Row] = {}  # as last read, by uid
-        self.started: dict[str, tuple[int, float]] = {}  # as told, and s on the front's clock
+        self.started: dict[str, Started] = {}  # by uid
         self.passed: dict[str, str] = {}
-        self.wall_ahead: float | None = None  # s of true time since 1970 at zero on the front's clock
+        self.ages = EngineAges(warm_after)
 
     def told(
         self, body: bytes, now: float, wall: float, listed: bool = False
@@ -57,11 +71,11 @@
         present: dict[str, None] = {}
         nameless = False
         self.passed = {}
-        self.keep_time(now, wall, entries)
+        self.ages.told(filter(None, map(self.told_start, entries)), now, wall)
         for entry in entries:
             held = self.held(entry)
             try:
-                uid, row = self.row(entry, now, wall)
+                uid, row = self.row(entry, now)
             except ListError as problem:
                 self.passed[str(entry)[:80]] = str(problem)
                 nameless = nameless or not (isinstance(entry, dict) and isinstance(entry.get("uid"), str))
@@ -81,6 +95,7 @@
         if complete:
             for uid in [uid for uid in self.rows if uid not in present]:
                 self.forget(uid)
+            self.ages.first_list_taken = self.ages.first_list_taken or listed
         self.version, self.newest = version, max(version, self.newest)
         return complete, rows
 
@@ -89,18 +104,18 @@
         uid = entry.get("uid") if isinstance(entry, dict) else None
         if not isinstance(uid, str) or uid not in self.rows:
             return None
-        return self.rows[uid], self.started[uid][0]
+        return self.rows[uid], self.started[uid].boot
 
     def no_healthier(self, uid: str, row: Row, held: tuple[Row, int] | None) -> Row:
         """Guards against an older list that names an engine as serving after its drain or end was told:
         nothing new may go there. Could harm where a drain was taken back while discovery was restored."""
-        boot, health = self.started[uid][0], row[4]
+        boot, health = self.started[uid].boot, row[4]
         if held and boot < held[1]:
-            self.started[uid] = held[1], held[0][6]
+            self.started[uid] = Started(held[1], held[0][6])
             return held[0]
         if held and boot == held[1]:
             health = max(health, held[0][4], key=HEALTH_ORDER.index)
-        elif not held and boot <= self.gone.get(uid, -1):
+        elif not held and uid in self.gone and boot <= self.gone[uid].boot:
             health = Health.GONE
         return (*row[:4], health, *row[5:])
 
@@ -119,30 +134,23 @@
         on = [row for row in self.rows.values() if row[4] is Health.ON]
         return [row[0] for row in on if row[1] == zone], [row[0] for row in on if row[1] != zone]
 
-    def keep_time(self, now: float, wall: float, entries: Sequence[Any]) -> None:
-        """Take true time from the wall clock once, and run on by the front's own, which nobody sets.
-
-        Guards against a wall clock that steps in service: set forward, an engine that has just started looked
-        warm; set back, every engine that names a start looked new. What the wall clock said at the first list
-        counts from then on, and true time is never before a start that has been told. Could harm where the
-        wall clock was wrong at the start and is set right later: until the next start ages are off by that.
-        """
-        if self.wall_ahead is None:
-            self.wall_ahead = wall - now
-        for entry in entries:
-            boot = entry.get("boot_ms") if isinstance(entry, dict) else None
-            if isinstance(boot, int) and boot / 1000 <= wall + CLOCK_BEHIND:
-                self.wall_ahead = max(self.wall_ahead, boot / 1000 - now)
+    def told_start(self, entry: Any) -> ToldStart | None:
+        """None of an entry that does not say so much."""
+        if not isinstance(entry, dict):
+            return None
+        boot, model = entry.get("boot_ms"), entry.get("model")
+        if not isinstance(boot, int) or not isinstance(model, str) or model not in self.kinds:
+            return None
+        return ToldStart(self.kinds[model][1], boot / 1000)
 
     def forget(self, uid: str) -> None:
         self.rows.pop(uid, None)
-        boot, _ = self.started.pop(uid, (0, 0.0))
         self.gone.pop(uid, None)
-        self.gone[uid] = boot
+        self.gone[uid] = self.started.pop(uid, LONG_AGO)
         if len(self.gone) > MOST_GONE:
             del self.gone[next(iter(self.gone))]
 
-    def row(self, entry: Any, now: float, wall: float) -> tuple[str, Row]:
+    def row(self, entry: Any, now: float) -> tuple[str, Row]:
         try:
             uid, boot = entry["uid"], int(entry.get("boot_ms") or 0)
             host, _, port = entry["endpoint"].rpartition(":")
@@ -159,11 +167,14 @@
         endpoint = self.rows[uid][0] if uid in self.rows else None
         if endpoint is None or (endpoint.address, endpoint.port, endpoint.role) != (host, number, role):
             endpoint = Endpoint(known, uid, role, host, number)
-        told, started = self.started.get(uid, (-1, 0.0))
-        if told != boot:
-            # Kept by what was told, so that a clock that is set does not make a running process look new.
-            # On the front's clock, which may have begun later than the process: then it lies before zero.
-            age = now + (self.wall_ahead or 0.0) - boot / 1000
-            started = (now - max(age, 0.0) or 1e-6) if boot else 0.0
-            self.started[uid] = boot, started
-        return uid, (endpoint, zone, place, group, health, size, started)
+        start = self.start_of(uid, boot, role, now)
+        return uid, (endpoint, zone, place, group, health, size, start.at)
+
+    def start_of(self, uid: str, boot: int, role: Role, now: float) -> Started:
+        """Kept by what was told, also of one that had gone from the list: neither a clock that is set nor a
+        list on which it is again makes a running process look new."""
+        known = self.started.get(uid) or self.gone.get(uid)
+        if known is None or known.boot != boot:
+            known = Started(boot, self.ages.on_front_clock(ToldStart(role, boot / 1000), now))
+        self.started[uid] = known
+        return known
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -80,7 +80,8 @@
             int(told["limits"].get("sockets") or resource.getrlimit(resource.RLIMIT_NOFILE)[0]))
         self.instances = Instances(
             {kind: (place, known.role) for place, (kind, known) in
-             enumerate(zip(settings["kinds"], figures["kinds"], strict=True))}, settings["azs"])
+             enumerate(zip(settings["kinds"], figures["kinds"], strict=True))}, settings["azs"],
+            figures["warm_after"])
         self.link = PlatformLink(
             limits["connectTimeoutNs"] / NS, figures["pin_limit"], limits["connIdleNs"] / NS,
             descriptors.engines, lambda: self.instances.listed(figures["zone"]))
--- a/tests/test_engine_ages.py
+++ b/tests/test_engine_ages.py
@@ -33,3 +33,31 @@
     assert instances.rows["new"][6] == pytest.approx(110.0, abs=1.1)
     assert instances.rows["again"][6] == pytest.approx(110.0, abs=1.1)
     assert instances.rows["old"][6] <= -50.0
+
+
+@pytest.mark.parametrize("ahead", AHEAD)
+def test_the_newest_engines_of_the_first_list_are_new_whatever_the_clock_says(ahead: float) -> None:
+    """Half of a role and more are not doubted: nobody would be left to take its requests."""
+    instances = Instances(KINDS, ["a"], warm_after=5.0)
+    tell(instances, 1, 100.0, ahead, entry("r1", 99.0), entry("r2", 96.0), entry("r3", 90.0),
+         entry("r4", 50.0), entry("r5", 20.0), entry("w1", 98.0, "m1"), entry("w2", 10.0, "m1"), listed=True)
+    started = {uid: row[6] for uid, row in instances.rows.items()}
+    assert started["r1"] == pytest.approx(100.0, abs=1.1)
+    assert started["r2"] == pytest.approx(97.0, abs=1.1)
+    assert started["r3"] <= 95.0 and started["r4"] <= 50.0  # warm
+    assert started["w1"] == pytest.approx(98.0 - ahead, abs=0.1)
+
+
+def test_what_has_started_longer_ago_than_a_clock_is_wrong_is_warm() -> None:
+    instances = Instances(KINDS, ["a"], warm_after=5.0)
+    tell(instances, 1, 9_000.0, 0.0, entry("r1", 1_000.0), entry("r2", 500.0), entry("r3", 0.5), listed=True)
+    assert instances.rows["r1"][6] == pytest.approx(1_000.0, abs=0.1)
+
+
+def test_an_engine_that_is_listed_again_keeps_its_age() -> None:
+    """As where discovery behind another address knows a part of the list at first."""
+    instances = Instances(KINDS, ["a"])
+    tell(instances, 1, 100.0, 0.0, entry("old", 50.0), entry("other", 50.0), listed=True)
+    tell(instances, 2, 110.0, 0.0, entry("other", 50.0), listed=True)
+    tell(instances, 3, 120.0, 0.0, entry("old", 50.0), listed=False)
+    assert instances.rows["old"][6] == pytest.approx(50.0, abs=0.1)
