--- a/heathford/cli/main.py
+++ b/heathford/cli/main.py
@@ -254,10 +254,14 @@
     seeds: str, seconds: float, fronts: int, report: Path, replay: Path | None, shrinks: bool
 ) -> None:
     """Real front nodes under overlapping troubles; exits 1 if a rule broke."""
+    import signal
+
     from heathford.soak.plan import read
     from heathford.soak.report import play, tell_outcome
     from heathford.soak.report import soak as soak_seeds
     report.mkdir(parents=True, exist_ok=True)
+    # As at an interrupt: the front nodes end with the run. They would go on, each on its port.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     if replay:
         outcome = play(read(replay.read_text()), fronts, report)
         tell_outcome(outcome, click.echo)
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -256,12 +256,12 @@
             self.unclear.pop(name, None)
 
     def say_again(
-        self, after: float, holder: Endpoint, name: str, events: ReleaseEvents, then_after: float
+        self, after: float, endpoint: Endpoint, name: str, events: ReleaseEvents, then_after: float
     ) -> None:
         if name in self.again:
             self.again[name].cancel()
         self.again[name] = self.loop.call_later(
-            after, self.release_again, holder, name, events, then_after)
+            after, self.release_again, endpoint, name, events, then_after)
 
     def heard_at(self, endpoint: Endpoint) -> float:
         """When anything came from that engine last, while a connection to it has stood."""
--- a/heathford/platform/state_release.py
+++ b/heathford/platform/state_release.py
@@ -120,8 +120,7 @@
 
     def ask_batch(self, schedule: ReleaseSchedule) -> None:
         """One engine at first; later as many others as are due, each once, and the first again after all."""
-        batch = schedule.batch
-        for _ in range(batch):
+        for _ in range(schedule.batch):
             endpoint = self.next_endpoint()
             if endpoint is None:
                 schedule.nobody_is_left(self.link.loop.time())
--- a/tests/test_engine_ages.py
+++ b/tests/test_engine_ages.py
@@ -61,3 +61,12 @@
     tell(instances, 2, 110.0, 0.0, entry("other", 50.0), listed=True)
     tell(instances, 3, 120.0, 0.0, entry("old", 50.0), listed=False)
     assert instances.rows["old"][6] == pytest.approx(50.0, abs=0.1)
+
+
+@pytest.mark.parametrize("ahead", AHEAD)
+def test_an_engine_that_is_told_late_is_as_old_as_one_told_sooner_shows(ahead: float) -> None:
+    instances = Instances(KINDS, ["a"])
+    tell(instances, 1, 100.0, ahead, entry("old", -50.0), listed=True)
+    tell(instances, 2, 110.0, ahead, entry("soon", 109.9), listed=False)
+    tell(instances, 3, 120.0, ahead, entry("late", 116.0), listed=False)
+    assert instances.rows["late"][6] == pytest.approx(116.1, abs=0.01)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import sys
 from collections.abc import Sequence
 from dataclasses import replace
 from pathlib import Path
@@ -273,3 +274,20 @@
     asyncio.run(day())
     [breach] = Oracle(seen, LIMITS).judge()
     assert breach.rule == "crash" and "status 2" in breach.what and "settings can't be used" in breach.what
+
+
+def test_a_soak_that_is_told_to_end_leaves_no_front_node_behind(tmp_path: Path) -> None:
+    async def day() -> None:
+        soak = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "heathford", "soak", "faults", "--seeds", "1", "--fronts", "2",
+            "--report", str(tmp_path), cwd=Path(__file__).parent.parent,
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+        children = Path(f"/proc/{soak.pid}/task/{soak.pid}/children")
+        async with asyncio.timeout(20.0):
+            while len(started := children.read_text().split()) < 2:
+                await asyncio.sleep(0.05)
+            soak.terminate()
+            await soak.communicate()
+            while any(Path(f"/proc/{front}").exists() for front in started):
+                await asyncio.sleep(0.05)
+    asyncio.run(day())
