--- a/heathford/platform/signals.py
+++ b/heathford/platform/signals.py
@@ -10,10 +10,10 @@
 ) -> None:
     """Have the loop make these calls, each in a turn of its own.
 
-    The loop learns of a signal by a byte that is written to a socket of its own. Here that byte only wakes the
-    loop, and Python's own handler, which runs without it, has the call made: where the byte is lost, in the
-    loop's next turn. Guards against a byte that the system refuses to write: a process that hears of no SIGTERM
-    is killed with all that it has taken. Costs nothing.
+    The loop learns of a signal by a byte that is written to a socket of its own. Here that byte only wakes
+    the loop, and Python's own handler, which runs without it, has the call made: where the byte is lost, in
+    the loop's next turn. Guards against a byte that the system refuses to write: a process that hears of no
+    SIGTERM is killed with all that it has taken. Costs nothing.
     """
     for number, act in acts.items():
         loop.add_signal_handler(number, woken)
