--- a/tests/test_platform_signals.py
+++ b/tests/test_platform_signals.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from collections.abc import Sequence
+from contextlib import suppress
 from pathlib import Path
 
 import orjson
@@ -78,3 +79,31 @@
     """The default of the signal would end the process."""
     status, said = asyncio.run(started(tmp_path, [signal.SIGUSR1]))
     assert status is None and said[-1]["event"] == "ready"
+
+
+def test_a_reload_as_the_process_ends_does_not_change_how_it_ends(tmp_path: Path) -> None:
+    """Seen before: once its event loop was closed SIGHUP ended it, with status -1."""
+    async def day() -> None:
+        agent = Agent()
+        address = await agent.open()
+        path = tmp_path / "config.json"
+        path.write_bytes(orjson.dumps({
+            "discovery": address, "limits": {"sockets": 256}, "seed": 1, "settings": settings()}))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "heathford", "--log", "json", "platform", cwd=Path(__file__).parent.parent,
+            stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "NODE_NAME": "n0", "NODE_LISTEN": "127.0.0.1:0", "NODE_DISCOVERY": address,
+                 "NODE_CONFIG": str(path)})
+        assert process.stderr
+        while b'"ready"' not in await process.stderr.readline():
+            pass
+        process.terminate()
+        reading = asyncio.create_task(process.stderr.read())
+        while process.returncode is None:
+            with suppress(ProcessLookupError):
+                process.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.001)
+        assert process.returncode == 0
+        assert b"Traceback" not in await reading
+        agent.close()
+    asyncio.run(day())
