SIGHUP and a second SIGTERM as a process ends no longer change how it ends

Cause: the event loop gives signals their defaults back as it closes; Python takes some 0.05 s more to end. Ruled out: the handlers while it serves (may_be_reloaded in the soak; SIGHUP, SIGTERM, SIGHUP within 4 ms pass).

--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -24,7 +24,7 @@
 from heathford.platform.client_server import STILL_ASKED, SWEEP, ClientServer
 from heathford.platform.link import PlatformLink
 from heathford.platform.reload import ConfigurationReload
-from heathford.platform.signals import handle_signals
+from heathford.platform.signals import handled_signals
 from heathford.platform.start import StartError, address_of, from_environment, seed_of, told
 from heathford.wire.http1 import NonsenseError
 from heathford.wire.socket_state import flags_of
@@ -267,7 +267,7 @@
     acts: dict[signal.Signals, Callable[[], None]] = {
         signal.SIGTERM: node.terminate, signal.SIGINT: node.terminate, signal.SIGHUP: node.reload,
         signal.SIGUSR1: node.tell_history}
-    handle_signals(loop, acts)
-    for sign in EARLY.received:
-        acts[sign]()
-    await node.run()
+    with handled_signals(loop, acts):
+        for sign in EARLY.received:
+            acts[sign]()
+        await node.run()
