--- a/heathford/days/tap.py
+++ b/heathford/days/tap.py
@@ -7,6 +7,7 @@
 
 from heathford.days.recording import Recording
 from heathford.days.sniff import Exchanges, Lists
+from heathford.ports import reserved_port
 
 
 class Sniffer(Protocol):
@@ -116,6 +117,7 @@
         self.port = 0
         self.half_next = 0
         self.tasks: set[asyncio.Task[None]] = set()
+        self.reserved: socket.socket | None = None  # keeps the port while nobody listens
 
     def note(self, what: str, **fields: Any) -> None:
         self.recording.note("engine" if self.to else "list", what, front=self.front,
@@ -128,9 +130,11 @@
         return line.near
 
     async def listen(self) -> None:
+        if self.reserved is None:
+            self.reserved = reserved_port()
+            self.port = self.reserved.getsockname()[1]
         self.server = await asyncio.get_running_loop().create_server(
             self.accept, "127.0.0.1", self.port, backlog=512)
-        self.port = self.server.sockets[0].getsockname()[1]
 
     def connect(self, line: Line) -> None:
         async def work() -> None:
@@ -167,5 +171,7 @@
     def close(self) -> None:
         if self.server:
             self.server.close()
+        if self.reserved:
+            self.reserved.close()
         for line in list(self.lines):
             line.reset()
--- a/heathford/soak/front.py
+++ b/heathford/soak/front.py
@@ -3,7 +3,6 @@
 import asyncio
 import os
 import signal
-import socket
 import sys
 from collections import deque
 from collections.abc import Callable
@@ -15,6 +14,7 @@
 
 import orjson
 
+from heathford.ports import reserved_port
 from heathford.soak.client import FrontAddress
 from heathford.soak.plan import Kind
 from heathford.soak.records import Record, Seen
@@ -51,19 +51,6 @@
 )
 
 
-def reserved_port() -> socket.socket:
-    """A socket bound to a port of its own, on which others may listen that set SO_REUSEADDR.
-
-    As long as it is open, the system gives the port to nobody else, neither to a connection nor to a
-    socket that asks for any port: a front node starts on it more than once. Two of these never share a
-    port, since each is bound before it sets the option.
-    """
-    reserved = socket.socket()
-    reserved.bind(("127.0.0.1", 0))
-    reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    return reserved
-
-
 class FrontProcess:
     """shims: rows of what the hook is told. discoveries: where discovery may be, the present one first."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,6 +10,8 @@
 
 import pytest
 
+from heathford.days import tap
+from heathford.days.recording import Recording
 from heathford.soak.front import FrontProcess
 from heathford.soak.oracle import Limits, Oracle
 from heathford.soak.plan import TOUCH, Kind, Plan, Trouble, draw, read, shrink
@@ -291,3 +293,16 @@
             while any(Path(f"/proc/{front}").exists() for front in started):
                 await asyncio.sleep(0.05)
     asyncio.run(day())
+
+
+def test_the_port_of_a_day_s_relay_is_kept_while_nobody_listens(tmp_path: Path) -> None:
+    """Seen in CI: an engine that came back after a restart met "address already in use"."""
+    async def day() -> None:
+        relay = tap.Relay(Recording(tmp_path / "recording"), "f", "e")
+        await relay.listen()
+        await relay.set_dead(True)
+        with socket.socket() as other, pytest.raises(OSError, match="in use"):
+            other.bind(("127.0.0.1", relay.port))
+        await relay.set_dead(False)
+        relay.close()
+    asyncio.run(day())
