--- a/heathford/cli/main.py
+++ b/heathford/cli/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 from collections.abc import Mapping
 from pathlib import Path
@@ -254,8 +255,6 @@
     seeds: str, seconds: float, fronts: int, report: Path, replay: Path | None, shrinks: bool
 ) -> None:
     """Real front nodes under overlapping troubles; exits 1 if a rule broke."""
-    import signal
-
     from heathford.soak.plan import read
     from heathford.soak.report import play, tell_outcome
     from heathford.soak.report import soak as soak_seeds
--- a/heathford/soak/relay.py
+++ b/heathford/soak/relay.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from contextlib import suppress
 
+from heathford.ports import reserved_port
 from heathford.soak.plan import Kind
 
 PIECE = 65_536
@@ -42,11 +43,14 @@
         self.open: dict[asyncio.StreamWriter, Watcher] = {}
         self.tasks: set[asyncio.Task[None]] = set()
         self.over = False
+        self.reserved: socket.socket | None = None  # keeps the port while nobody listens
         self.full_queue: list[socket.socket] = []  # a listening socket that nobody accepts on, and fillers
 
     async def listen(self) -> None:
+        if self.reserved is None:
+            self.reserved = reserved_port()
+            self.port = self.reserved.getsockname()[1]
         self.server = await asyncio.start_server(self.relay, "127.0.0.1", self.port)
-        self.port = self.server.sockets[0].getsockname()[1]
 
     async def begin(self, kind: Kind) -> None:
         self.troubles.append(kind)
@@ -182,6 +186,8 @@
         self.over = True
         self.stop_listening()
         self.empty_queue()
+        if self.reserved:
+            self.reserved.close()
         self.reset_all()
         for task in list(self.tasks):
             task.cancel()
--- /dev/null
+++ b/tests/node_processes.py
@@ -0,0 +1,50 @@
+"""Front nodes as processes of their own, whose log the test reads."""
+
+import asyncio
+import os
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import orjson
+
+from heathford.standin.platform import Agent, settings
+
+PLATFORM = ("-m", "heathford", "--log", "json", "platform")  # arguments of the interpreter
+
+
+def write_configuration(path: Path, discovery: str) -> bytes:
+    said = orjson.dumps(
+        {"discovery": discovery, "limits": {"sockets": 256}, "seed": 1, "settings": settings()})
+    path.write_bytes(said)
+    return said
+
+
+@asynccontextmanager
+async def node_process(
+    folder: Path, *arguments: str, listen: str = "127.0.0.1:0"
+) -> AsyncIterator[asyncio.subprocess.Process]:
+    """A process that is told all by a platform of its own; killed in the end if it still runs."""
+    agent = Agent()
+    address = await agent.open()
+    path = folder / "config.json"
+    write_configuration(path, address)
+    process = await asyncio.create_subprocess_exec(
+        sys.executable, *arguments, cwd=Path(__file__).parent.parent, stderr=asyncio.subprocess.PIPE,
+        env={**os.environ, "NODE_NAME": "n0", "NODE_LISTEN": listen, "NODE_DISCOVERY": address,
+             "NODE_CONFIG": str(path)})
+    try:
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        agent.close()
+
+
+async def until_said(process: asyncio.subprocess.Process, words: bytes) -> None:
+    """Read its log up to a line with these words."""
+    assert process.stderr
+    while words not in (line := await process.stderr.readline()):
+        assert line, "it has ended"
--- a/tests/test_failing_start.py
+++ b/tests/test_failing_start.py
@@ -2,19 +2,17 @@
 
 import asyncio
 import errno
-import os
 import socket
-import sys
 from pathlib import Path
 from time import monotonic
 from typing import Any
 
-import orjson
 import pytest
+from node_processes import PLATFORM, node_process, until_said, write_configuration
 from raw_peers import Day, run_day, until
 
 from heathford.platform.start import told
-from heathford.standin.platform import Agent, settings
+from heathford.standin.platform import Agent
 
 FAILURES = 3
 OF_A_MOMENT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EIO)
@@ -33,38 +31,16 @@
         return self.call(*given, **named)
 
 
-def write_configuration(path: Path, discovery: str) -> bytes:
-    said = orjson.dumps(
-        {"discovery": discovery, "limits": {"sockets": 256}, "seed": 1, "settings": settings()})
-    path.write_bytes(said)
-    return said
-
-
 def test_a_front_node_starts_once_its_address_is_free(tmp_path: Path) -> None:
     """As where the connection of another program has its port, or the system has no descriptor left."""
     async def day() -> None:
-        agent = Agent()
-        path = tmp_path / "config.json"
-        address = await agent.open()
-        write_configuration(path, address)
         with socket.create_server(("127.0.0.1", 0)) as other:
-            process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "heathford", "--log", "json", "platform",
-                cwd=Path(__file__).parent.parent, stderr=asyncio.subprocess.PIPE, env={
-                    **os.environ, "NODE_NAME": "n0", "NODE_DISCOVERY": address, "NODE_CONFIG": str(path),
-                    "NODE_LISTEN": f"127.0.0.1:{other.getsockname()[1]}"})
-            assert process.stderr
-            said = await process.stderr.readline()
-        try:
-            async with asyncio.timeout(10.0):
-                while b'"ready"' not in said:
-                    said = await process.stderr.readline()
-                    assert said, "it has ended"
-        finally:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
-            agent.close()
+            listen = f"127.0.0.1:{other.getsockname()[1]}"
+            async with node_process(tmp_path, *PLATFORM, listen=listen) as process, asyncio.timeout(10.0):
+                assert process.stderr
+                await process.stderr.readline()
+                other.close()
+                await until_said(process, b'"ready"')
     asyncio.run(day())
 
 
--- a/tests/test_platform_signals.py
+++ b/tests/test_platform_signals.py
@@ -4,17 +4,14 @@
 """
 
 import asyncio
-import os
 import signal
-import sys
 from collections.abc import Sequence
 from contextlib import suppress
 from pathlib import Path
 
 import orjson
 import pytest
-
-from heathford.standin.platform import Agent, settings
+from node_processes import PLATFORM, node_process, until_said
 
 STARTS = """
 import os, runpy, signal, sys
@@ -32,31 +29,15 @@
 
 async def started(folder: Path, numbers: Sequence[int]) -> tuple[int | None, list[dict[str, object]]]:
     """The exit status, or None while it runs, and what it has logged until it was ready or ended."""
-    agent = Agent()
-    address = await agent.open()
-    path = folder / "config.json"
-    path.write_bytes(orjson.dumps({
-        "discovery": address, "limits": {"sockets": 256}, "seed": 1, "settings": settings()}))
     script = STARTS.format(numbers=[int(number) for number in numbers])
-    process = await asyncio.create_subprocess_exec(
-        sys.executable, "-c", script, cwd=Path(__file__).parent.parent,
-        stderr=asyncio.subprocess.PIPE,
-        env={**os.environ, "NODE_NAME": "n0", "NODE_LISTEN": "127.0.0.1:0", "NODE_DISCOVERY": address,
-             "NODE_CONFIG": str(path)})
     said = []
-    try:
-        async with asyncio.timeout(10.0):
-            assert process.stderr
-            while line := await process.stderr.readline():
-                said.append(orjson.loads(line))
-                if said[-1]["event"] == "ready":
-                    return None, said
-            return await process.wait(), said
-    finally:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
-        agent.close()
+    async with node_process(folder, "-c", script) as process, asyncio.timeout(10.0):
+        assert process.stderr
+        while line := await process.stderr.readline():
+            said.append(orjson.loads(line))
+            if said[-1]["event"] == "ready":
+                return None, said
+        return await process.wait(), said
 
 
 @pytest.mark.parametrize("count", [1, 3])
@@ -84,26 +65,15 @@
 def test_a_reload_as_the_process_ends_does_not_change_how_it_ends(tmp_path: Path) -> None:
     """Seen before: once its event loop was closed SIGHUP ended it, with status -1."""
     async def day() -> None:
-        agent = Agent()
-        address = await agent.open()
-        path = tmp_path / "config.json"
-        path.write_bytes(orjson.dumps({
-            "discovery": address, "limits": {"sockets": 256}, "seed": 1, "settings": settings()}))
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "heathford", "--log", "json", "platform", cwd=Path(__file__).parent.parent,
-            stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "NODE_NAME": "n0", "NODE_LISTEN": "127.0.0.1:0", "NODE_DISCOVERY": address,
-                 "NODE_CONFIG": str(path)})
-        assert process.stderr
-        while b'"ready"' not in await process.stderr.readline():
-            pass
-        process.terminate()
-        reading = asyncio.create_task(process.stderr.read())
-        while process.returncode is None:
-            with suppress(ProcessLookupError):
-                process.send_signal(signal.SIGHUP)
-            await asyncio.sleep(0.001)
-        assert process.returncode == 0
-        assert b"Traceback" not in await reading
-        agent.close()
+        async with node_process(tmp_path, *PLATFORM) as process:
+            await until_said(process, b'"ready"')
+            process.terminate()
+            assert process.stderr
+            reading = asyncio.create_task(process.stderr.read())
+            while process.returncode is None:
+                with suppress(ProcessLookupError):
+                    process.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.001)
+            assert process.returncode == 0
+            assert b"Traceback" not in await reading
     asyncio.run(day())
--- a/tests/test_state_held.py
+++ b/tests/test_state_held.py
@@ -442,10 +442,10 @@
     assert len(i.link.released) == 1
 
 
-async def unclear_prefill(play: Day, client: RawClient) -> None:
+async def unclear_prefill(play: Day, client: RawClient, budget: int = 4000) -> None:
     """A prefill attempt whose connection breaks, and the release that is confirmed before it ends well."""
     reader = play.engines[0]
-    client.say(request("c0"))
+    client.say(request("c0", budget=budget))
     (await reader.asked()).sock.close()
     (await reader.asked(1, b"DELETE")).sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
 
@@ -481,9 +481,7 @@
     async def day(play: Day) -> None:
         reader, writer = play.engines
         client = play.client()
-        client.say(request("c0", budget=400))
-        (await reader.asked()).sock.close()
-        (await reader.asked(1, b"DELETE")).sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+        await unclear_prefill(play, client, budget=400)
         (await reader.asked(2)).sock.sendall(WORDS["full"])
         await client.until(1)
         await until(lambda: reader.deletes + writer.deletes > 1, "a release after the final answer")
