A failing test: what may not run twice runs twice while the kernel sends on

An attempt of 200 kB that is given up at the look for arrival counts as never run although the kernel still holds part of it. With a hold-up of 0.06 s after the look, or after the close, both decode engines read the whole request: 2 of 2.

--- /dev/null
+++ b/tests/test_attempt_left_in_kernel.py
@@ -0,0 +1,101 @@
+"""An attempt that is given up while part of its bytes lies in this machine, and that its engine reads whole.
+
+What happened: a long request that must not run twice was written to a decode engine that reads slowly. At the
+look for arrival the kernel still held part of it, so the attempt counted as one that never ran, and another
+engine got the request. But the connection was still open: the engine read on while the front node was held
+up, the kernel sent the rest, and both engines had the request whole.
+
+Why: only bytes in user space stay here once a connection is given up; those that the kernel has may leave
+until the socket is really closed. What showed it: ends read 2, unreachable 1, and both engines had read every
+byte, with a hold-up of 0.06 s right after the look as well as right after the close; the gate saw no violation.
+"""
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from raw_peers import Day, Held, RawEngine, answer_releases, decode, prefill, request, run_day
+
+from heathford.platform.exchange import EngineConnection
+from heathford.platform.link import EngineCall
+from heathford.standin.platform import READ
+
+LARGE = 200_000  # bytes of a prompt, within the 256 KiB of a body
+SMALL_BUFFER = 4_096  # bytes
+HOLD_UP = 0.06  # s: less than the 0.15 s that the users allow
+PATIENCE = 4.0  # s that the client waits
+
+
+def slow_decode(uid: str) -> RawEngine:
+    """Its receive buffer is small, and it reads only when the test does."""
+    engine = decode(uid)
+    engine.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+    return engine
+
+
+def is_whole(held: Held) -> bool:
+    """Whether a request has come to its last byte on that connection."""
+    head, separator, body = held.got.partition(b"\r\n\r\n")
+    return bool(separator) and len(body) == int(head.rpartition(b"Content-Length: ")[2].split(b"\r\n")[0])
+
+
+def read_on(engines: tuple[RawEngine, ...]) -> None:
+    """The engines read while the front node, which shares this thread, is held up."""
+    ends = time.monotonic() + HOLD_UP
+    while time.monotonic() < ends:
+        for engine in engines:
+            engine.count(b"POST")
+
+
+def held_up(
+    call: Callable[..., None], before: bool, engines: tuple[RawEngine, ...], calls: list[Any]
+) -> Callable[..., None]:
+    """That call of the front node, with a hold-up right before or right after it where engines are asked."""
+    def wrapped(given: Any, *more: Any, **named: Any) -> None:
+        decodes = given.endpoint.port if isinstance(given, EngineCall) else given.pool.address[1]
+        meant = any(engine.listener.getsockname()[1] == decodes for engine in engines)
+        if meant and before:
+            read_on(engines)
+        call(given, *more, **named)
+        if meant and not before:
+            read_on(engines)
+        if meant:
+            calls.append(given)
+    return wrapped
+
+
+@pytest.mark.parametrize("moment", ["after the look", "after the close"])
+def test_what_may_not_run_twice_does_not_while_the_kernel_sends_on(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, moment: str
+) -> None:
+    """One engine at most has the request whole, and no refusal says that none has."""
+    engines = (slow_decode("w"), slow_decode("w2"))
+    ended: list[Any] = []
+    if moment == "after the look":
+        monkeypatch.setattr(EngineCall, "end", held_up(EngineCall.end, True, engines, ended))
+    else:
+        monkeypatch.setattr(
+            EngineConnection, "close", held_up(EngineConnection.close, False, engines, ended))
+
+    async def day(play: Day) -> None:
+        reader = play.engines[0]
+        releases = asyncio.create_task(answer_releases(reader))
+        client = play.client()
+        client.say(request("c0", request_class="booking", size=LARGE))
+        reads = 0
+        began = time.monotonic()
+        while not client.answers and time.monotonic() < began + PATIENCE:
+            if reader.posts > reads:
+                reads += 1
+                (await reader.asked(reads)).sock.sendall(READ)
+            await asyncio.sleep(0.005)
+        releases.cancel()
+        assert ended, "no attempt was given up"
+        whole = [engine.uid for engine in engines for held in engine.held if is_whole(held)]
+        assert len(whole) <= 1
+        assert not whole or client.answers == [502]
+    run_day(tmp_path, day, prefill(), *engines)
