--- /dev/null
+++ b/tests/test_repeat_beside_silence.py
@@ -0,0 +1,124 @@
+"""Keyed repeats where the engine of an earlier attempt, or the one of the repeat, reads nothing for a while.
+
+What happened: a keyed request was given up at an engine that read nothing, stopped or cut off behind a relay,
+and repeated elsewhere within the window in which engines know its key. What lay at the first engine was read
+once that went on, after the window: the request ran twice. The same the other way round: the first engine had
+run it and its answer was lost, the repeat lay unread at a silent engine until the window was over.
+
+Why: that an engine says nothing was taken for the reason to repeat, and that a connection was closed for the
+proof that the attempt is not read. A process reads what came before a close. What showed it: soak seeds 8509
+and 8540; over loopback the repeat was read 0.46 s after the first attempt was sent, and the first one 2.36 s
+after, with a window of 1.5 s.
+"""
+
+import asyncio
+from pathlib import Path
+from time import monotonic
+
+from raw_peers import Day, Held, RawClient, RawEngine, answer_releases, decode, prefill, readable, request
+from raw_peers import run_day, until
+from test_repeat_read_late import WINDOW, add_orders
+
+from heathford.standin.platform import GOOD, READ
+
+TRIES = 12  # attempts that a request may have: enough for several at each engine
+LATER = 0.3  # s past the window at which an engine reads on
+
+
+def has_unread(engine: RawEngine) -> bool:
+    """Something has come that the engine has not read."""
+    return readable(engine.listener) or any(readable(held.sock) for held in engine.held)
+
+
+class Running:
+    """Engines that run: they answer releases; prefill is done at once, decode attempts are kept."""
+
+    def __init__(self, *engines: RawEngine) -> None:
+        self.engines = engines
+
+    async def __aenter__(self) -> "Running":
+        self.tasks = [asyncio.create_task(answer_releases(*self.engines))]
+        self.tasks += [asyncio.create_task(self.read(e)) for e in self.engines if e.model == "m0"]
+        return self
+
+    async def __aexit__(self, *problem: object) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+    async def read(self, engine: RawEngine) -> None:
+        reads = 0
+        while True:
+            if engine.posts > reads:
+                reads += 1
+                (await engine.asked(reads)).sock.sendall(READ)
+            await asyncio.sleep(0.002)
+
+
+async def first_answered(play: Day, client: RawClient) -> None:
+    """A request that is over and holds nothing, in whose name an engine may be asked for an answer."""
+    writers = play.engines[1:]
+    client.say(request("c0"))
+    await until(lambda: any(writer.posts for writer in writers), "the first request")
+    asked = next(writer for writer in writers if writer.posts)
+    (await asked.asked()).sock.sendall(GOOD)
+    await until(lambda: client.whole == 1, "its answer")
+    await play.settled()
+
+
+async def attempt_at(play: Day, name: str) -> tuple[RawEngine, RawEngine, Held]:
+    """The engine that reads the decode attempt of that request, the other one, and the connection."""
+    writers = play.engines[1:]
+
+    def holds(engine: RawEngine) -> Held | None:
+        engine.count(b"POST")
+        mark = f"X-Call-Id: {name}\r\n".encode()
+        return next((held for held in engine.held if mark in held.got), None)
+    await until(lambda: any(holds(writer) for writer in writers), f"the attempt of {name}")
+    first = next(writer for writer in writers if holds(writer))
+    held = holds(first)
+    assert held
+    return first, next(writer for writer in writers if writer is not first), held
+
+
+def test_a_repeat_does_not_lie_unread_at_a_stopped_engine_while_the_first_one_runs(tmp_path: Path) -> None:
+    """The first engine has run it and lost its answer; the one of the repeat is stopped."""
+    async def day(play: Day) -> None:
+        reader = play.engines[0]
+        client = play.client()
+        async with Running(reader):
+            await first_answered(play, client)
+            client.say(request("c1", request_class="order"))
+            first, stopped, held = await attempt_at(play, "c1")
+            ran_at = monotonic()
+            held.sock.close()
+            before, seen = stopped.posts, first.posts
+            async with Running(first):
+                while monotonic() < ran_at + WINDOW + LATER:
+                    if first.posts > seen:  # repeated there: the answer is lost again
+                        seen = first.posts
+                        first.latest[b"POST"].sock.close()
+                    await asyncio.sleep(0.005)
+            assert stopped.posts == before
+    run_day(tmp_path, day, prefill(), decode("w"), decode("w2"), setting=add_orders, tryLimit=TRIES)
+
+
+def test_no_repeat_while_the_first_attempt_lies_unread(tmp_path: Path) -> None:
+    """The first engine is stopped before it reads the attempt; the other one runs."""
+    async def day(play: Day) -> None:
+        reader, *writers = play.engines
+        client = play.client()
+        async with Running(reader):
+            await first_answered(play, client)
+            client.say(request("c1", request_class="order"))
+            await until(lambda: any(has_unread(writer) for writer in writers), "the attempt")
+            sent_at = monotonic()
+            stopped = next(writer for writer in writers if has_unread(writer))
+            other = next(writer for writer in writers if writer is not stopped)
+            before = other.posts
+            async with Running(other):
+                while monotonic() < sent_at + WINDOW + LATER:
+                    await asyncio.sleep(0.005)
+            assert b"X-Call-Id: c1\r\n" in b"".join(held.look() for held in stopped.held) or stopped.posts
+            assert other.posts == before
+            await client.until(2)
+    run_day(tmp_path, day, prefill(), decode("w"), decode("w2"), setting=add_orders)
