A keyed repeat waits until its earlier engine has read on, and goes to one that just answered

Cause: policy/request_state.py, engine_silent, cancelled a keyed attempt because its engine was silent, and may_go_to let it be repeated; core/gate.py asked for group and window only. Nothing asked whether the earlier engine had come to the attempt, or whether the next one runs. Change: after an attempt that ends without an answer its engine is asked by a release, on a connection that it can't have accepted before that of the attempt; until it answers, or refuses connections, the request waits (Completion.awaits_reading, Reason.EARLIER_UNREAD). A keyed attempt at a silent engine stays out: once that engine goes on it answers or tells that nothing ran.

--- a/heathford/core/gate.py
+++ b/heathford/core/gate.py
@@ -84,6 +84,7 @@
     ANOTHER_OUT = "another attempt is out"
     MAY_HAVE_RUN = "an earlier attempt may have run"
     WINDOW_OVER = "the window for repeats is over"
+    EARLIER_UNREAD = "an earlier attempt may yet be read"
     OUTSIDE_GROUP = "the engine does not know the repeat"
     ENGINE_LEAVES = "the engine drains or is gone"
     ANSWER_OWED = "an answer is owed on the connection"
@@ -114,12 +115,14 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One attempt of a request. sent_at: s on the loop's clock."""
+    """One attempt of a request. sent_at: s on the loop's clock. may_be_read_later: it has ended
+    unanswered, and nothing shows that its engine has come to it yet, closed or not."""
 
     target: Target
     reading: bool
     sent_at: float
     verdict: Verdict | None = None
+    may_be_read_later: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -195,6 +198,9 @@
             return self.refuse(Reason.MAY_HAVE_RUN)
         if now + HELD_UP - risks[0].sent_at >= workload.memory_time:
             return self.refuse(Reason.WINDOW_OVER)
+        if any(other.may_be_read_later for other in risks):
+            # Read after this attempt's window it would run a second time.
+            return self.refuse(Reason.EARLIER_UNREAD)
         for other in risks:
             # Cells lie in zones; where the list names no cells all engines look like one.
             same_zone = other.target.zone == target.zone
--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import ssl
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from math import inf
 from typing import Any
 
@@ -19,6 +19,9 @@
 from heathford.engines.letting_go import LettingGo
 from heathford.interface import Role, Verdict
 
+NO_ANSWER = 0  # in place of a status
+REFUSED = -2  # the same, where nobody listens: its process is gone
+RUNS_WITHIN = 0.1  # s that an engine which runs may take to show it: many round trips
 READ_BYTES = 65_536  # bytes read at once: a socket's buffer, so that one stream can't keep the others waiting
 
 log = structlog.get_logger()
@@ -44,7 +47,7 @@
         self, endpoint: Endpoint, name: str, body: Mapping[str, Any], kv: Mapping[str, Any] | None, mark: str,
         timeout: float, events: CallEvents,
     ) -> "HttpCall":
-        call = HttpCall(self, endpoint, events)
+        call = HttpCall(self, endpoint, name, events)
         self.tasks.spawn(call.run(encoded(endpoint, name, body, kv, mark), timeout))
         return call
 
@@ -62,37 +65,44 @@
             if tries.is_over(status):
                 events.confirmed(endpoint.name)
                 return
-            events.unanswered(endpoint.name, status)
+            events.unanswered(endpoint.name, max(NO_ANSWER, status))
         log.warning("state not let go", engine=endpoint.name, dispatch=name)
         events.failed()
 
-    async def delete(self, endpoint: Endpoint, name: str, patience: float) -> int:
-        """The status of the answer, or 0."""
+    async def delete(self, endpoint: Endpoint, name: str, patience: float, fresh: bool = False) -> int:
+        """The status of the answer, NO_ANSWER or REFUSED. fresh: on a connection of its own, opened now."""
         pool = self.pool(endpoint)
         stream = None
         try:
             async with asyncio.timeout(patience):
-                stream = await self.connection(endpoint, pool)
-                await stream.write(request("DELETE", f"/v1/kv_transfers/{name}", endpoint.address, {}, b""))
-                response = Response(self.longest_line)
-                while not response.done:
-                    for _ in response.feed(await stream.read_bytes(READ_BYTES, partial=True)):
-                        pass
-        except (StreamClosedError, OSError, NonsenseError, TimeoutError):
+                stream = await self.connection(endpoint, pool, fresh)
+                response = await self.delete_on(stream, endpoint, name)
+        except (StreamClosedError, OSError, NonsenseError, TimeoutError) as problem:
             if stream:
                 self.drop(pool, stream)
-            return 0
+            return REFUSED if was_refused(problem) else NO_ANSWER
         self.give_back(pool, stream, response.keep)
         return response.status
 
+    async def delete_on(self, stream: IOStream, endpoint: Endpoint, name: str) -> Response:
+        """The whole answer. Raises StreamClosedError or NonsenseError."""
+        await stream.write(request("DELETE", f"/v1/kv_transfers/{name}", endpoint.address, {}, b""))
+        response = Response(self.longest_line)
+        while not response.done:
+            for _ in response.feed(await stream.read_bytes(READ_BYTES, partial=True)):
+                pass
+        return response
+
     # Connections.
 
     def pool(self, endpoint: Endpoint) -> Connections[IOStream]:
         return self.pools.pool(endpoint.address, endpoint.port)
 
-    async def connection(self, endpoint: Endpoint, pool: Connections[IOStream]) -> IOStream:
-        """Raises OSError or StreamClosedError where none can be had."""
-        stream = self.pools.idle_one(pool, asyncio.get_running_loop().time())
+    async def connection(
+        self, endpoint: Endpoint, pool: Connections[IOStream], fresh: bool = False
+    ) -> IOStream:
+        """A kept one unless fresh. Raises OSError or StreamClosedError where none can be had."""
+        stream = None if fresh else self.pools.idle_one(pool, asyncio.get_running_loop().time())
         if stream:
             stream.set_close_callback(None)
             return stream
@@ -135,11 +145,17 @@
         self.pools.close_idle()
 
 
+def was_refused(problem: Exception) -> bool:
+    """Whether nobody listens at the address."""
+    reason = problem.real_error if isinstance(problem, StreamClosedError) else problem
+    return isinstance(reason, ConnectionRefusedError)
+
+
 class HttpCall:
     """One dispatch on its way: connect, send, answer. Ends once, with the first thing that ends it."""
 
-    def __init__(self, link: EngineLink, endpoint: Endpoint, events: CallEvents) -> None:
-        self.link, self.endpoint, self.events = link, endpoint, events
+    def __init__(self, link: EngineLink, endpoint: Endpoint, name: str, events: CallEvents) -> None:
+        self.link, self.endpoint, self.name, self.events = link, endpoint, name, events
         self.pool = link.pool(endpoint)
         self.stream: IOStream | None = None
         self.timer: asyncio.TimerHandle | None = None
@@ -154,6 +170,26 @@
         if self.stream is None:
             self.end(Verdict.UNSENT)
 
+    def ask_whether_read(self, state_waits: bool, within: float, told: Callable[[bool], None]) -> None:
+        """By a release of what this dispatch holds. Dispatches have names of their own here, so that takes
+        nothing from others."""
+        async def learn() -> None:
+            status = await self.link.delete(self.endpoint, self.name, within, fresh=True)
+            told(status != NO_ANSWER)
+        self.link.tasks.spawn(learn())
+
+    async def engine_runs(self, stream: IOStream) -> bool:
+        """Whether the engine answers on the connection that is to be used. It is dropped if not."""
+        try:
+            async with asyncio.timeout(RUNS_WITHIN):
+                response = await self.link.delete_on(stream, self.endpoint, self.name)
+        except (StreamClosedError, OSError, NonsenseError, TimeoutError):
+            self.link.drop(self.pool, stream)
+            return False
+        if not response.keep:
+            self.link.drop(self.pool, stream)
+        return response.keep
+
     def give_up_unless_arrived(self) -> Arrival:
         """Only what has no connection yet is known not to have arrived here."""
         if self.stream is None:
@@ -196,6 +232,9 @@
         except (StreamClosedError, OSError):
             self.end(Verdict.UNREACHABLE)
             return
+        if self.events.needs_running_engine() and not await self.engine_runs(stream):
+            self.end(Verdict.UNREACHABLE)
+            return
         if self.over or not self.events.wanted():
             self.link.give_back(self.pool, stream, True)
             self.end(Verdict.UNSENT)
--- a/heathford/platform/exchange.py
+++ b/heathford/platform/exchange.py
@@ -47,6 +47,7 @@
         self.transport: asyncio.Transport | None = None
         self.user: Exchange | None = None
         self.unwritten = False  # part of what was sent has not left yet
+        self.heard = False  # anything has come on it: its engine has accepted it
         self.counted = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -72,6 +73,7 @@
             self.unwritten = True
 
     def data_received(self, data: bytes) -> None:
+        self.heard = True
         self.pool.heard_at = self.link.loop.time()
         if self.user:
             self.user.heard(data)
@@ -130,12 +132,16 @@
         self.connection: EngineConnection | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.over = False
+        self.refused = False  # nobody listens there
 
-    def connect(self, data: Callable[[], bytes], within: float, urgent: bool = False) -> None:
-        """An idle connection, or a new one within that many s. urgent: one of those kept back for that."""
+    def connect(
+        self, data: Callable[[], bytes], within: float, urgent: bool = False, fresh: bool = False
+    ) -> None:
+        """An idle connection, or a new one within that many s. urgent: one of those kept back for that;
+        fresh: a new one in any case."""
         pools = self.link.pools
         pool = pools.pool(self.endpoint.address, self.endpoint.port)
-        kept = pools.idle_one(pool, self.loop.time())
+        kept = None if fresh else pools.idle_one(pool, self.loop.time())
         while kept and not kept.quiet():
             kept.close()
             kept = pools.idle_one(pool, self.loop.time())
@@ -151,8 +157,9 @@
         connection = EngineConnection(self.link, pool)
         try:
             await asyncio.wait_for(self.connected(connection), self.link.connect_timeout)
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError) as problem:
             connection.close()
+            self.refused = isinstance(problem, ConnectionRefusedError)
             if not self.over:
                 self.unreached()
             return
--- a/heathford/platform/state_release.py
+++ b/heathford/platform/state_release.py
@@ -20,10 +20,16 @@
 ROOMS = "/bootstrap/rooms/"
 NO_ANSWER = 0  # in place of a status
 NO_CONNECTION = -1  # the same, where all of this process's own connections are in use
+REFUSED = -2  # the same, where nobody listens: its process is gone, by the protocol page
 
 log = structlog.get_logger()
 
 
+def release_request(endpoint: Endpoint, name: str) -> bytes:
+    """Which every engine answers, whatever it holds."""
+    return request("DELETE", ROOMS + name, endpoint.address, {}, b"")
+
+
 class Startable(Protocol):
     """What waits until a release is through."""
 
@@ -35,13 +41,16 @@
 
     link: "PlatformLink"
 
-    def __init__(self, link: "PlatformLink", endpoint: Endpoint, name: str, patience: float) -> None:
+    def __init__(
+        self, link: "PlatformLink", endpoint: Endpoint, name: str, patience: float, fresh: bool = False
+    ) -> None:
+        """fresh: on a connection of its own, opened now."""
         super().__init__(link, endpoint, patience)
         self.response = Response(LONGEST_LINE, LONGEST_LINE, strict=False)
         self.status: asyncio.Future[int] = self.loop.create_future()
         link.silent_engines.was_asked((endpoint.address, endpoint.port), self.loop.time())
         self.connect(
-            lambda: request("DELETE", ROOMS + name, endpoint.address, {}, b""), patience, urgent=True)
+            lambda: release_request(endpoint, name), patience, urgent=True, fresh=fresh)
 
     @property
     def engine(self) -> str:
@@ -51,7 +60,7 @@
     def end(self, status: int, keep: bool = False) -> None:
         if not self.over:
             self.stop(keep)
-            if status != NO_ANSWER:
+            if status not in (NO_ANSWER, REFUSED):
                 self.link.silent_engines.has_answered((self.endpoint.address, self.endpoint.port))
             self.status.set_result(status)
 
@@ -78,7 +87,7 @@
             self.end(self.response.status)
 
     def unreached(self) -> None:
-        self.end(NO_ANSWER)
+        self.end(REFUSED if self.refused else NO_ANSWER)
 
     def crowded(self) -> None:
         self.end(NO_CONNECTION)
--- a/heathford/policy/request_state.py
+++ b/heathford/policy/request_state.py
@@ -132,16 +132,28 @@
     def engine_silent(self, seq: int) -> None:
         """Guards against waiting for an engine that is stopped or cut off: the state has been released, so an
         attempt that comes there later finds it gone. Another engine reads anew, where a repeat does no harm.
-        Could harm by a second read where the engine is only slow to answer."""
+        Could harm by a second read where the engine is only slow to answer. Not a keyed one: it could not be
+        repeated before that engine answers, and once it does it tells that the attempt has not run."""
         if seq >= len(self.dispatches):
             return
         dispatch = self.dispatches[seq]
         if dispatch.verdict or dispatch.streaming:
             return
         dispatch.engine.went_badly(FAILURES[Verdict.UNARRIVED], dispatch.sent, self.router.clock.now)
-        if self.router.may_cancel and not self.over and self.router.may_start_over(self):
+        free = self.workload.effect is Effect.IDEMPOTENT
+        if free and self.router.may_cancel and not self.over and self.router.may_start_over(self):
             self.door.cancel(seq)
 
+    def may_be_read_later(self, seq: int, may: bool) -> None:
+        if seq < len(self.dispatches):
+            self.dispatches[seq].may_be_read_later = may
+
+    @property
+    def awaits_reading(self) -> bool:
+        """Guards against a keyed repeat beside an attempt that lies unread at a silent engine: read after the
+        window it would run a second time. Could harm by a wait for an engine that does not come back."""
+        return any(d.may_be_read_later for d in self.dispatches)
+
     def left(self) -> None:
         self.over = True
         if self.out is None:
--- a/heathford/policy/router.py
+++ b/heathford/policy/router.py
@@ -148,6 +148,10 @@
                 completion.give_up(GivenUp.TIME_OVER)
             elif not self.has_taker(completion, now):
                 completion.give_up(GivenUp.NO_ENGINE)
+            elif completion.awaits_reading:
+                if completion.state and now - completion.held_since >= self.hold:
+                    completion.let_go()  # a state may not be held on
+                self.waiting.append(completion)
             elif fresh and crowded and now >= completion.late_at:
                 completion.give_up(GivenUp.TURNED_AWAY)
             elif not self.placed(completion):
--- a/heathford/standin/link.py
+++ b/heathford/standin/link.py
@@ -2,7 +2,7 @@
 before the core, and for measuring it alone."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from heathford.core.doors import Arrival, CallEvents, Endpoint, EnginesCountAsAlive, ReleaseEvents
@@ -46,6 +46,10 @@
         self.done()
         self.events.ended(Verdict.CANCELLED, 0, {}, {})
 
+    def ask_whether_read(self, state_waits: bool, within: float, told: Callable[[bool], None]) -> None:
+        """What was sent is read at once, here."""
+        told(True)
+
     def give_up_unless_arrived(self) -> Arrival:
         """What was sent has arrived, here."""
         return Arrival.CONFIRMED
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -163,6 +163,10 @@
         """What was sent has arrived, here."""
         return Arrival.CONFIRMED
 
+    def ask_whether_read(self, state_waits: bool, within: float, told: Callable[[bool], None]) -> None:
+        """What was sent is read at once, here."""
+        told(True)
+
     def withdraw(self) -> None:
         if not self.begun:
             self.withdrawn = True
--- a/tests/raw_peers.py
+++ b/tests/raw_peers.py
@@ -134,6 +134,11 @@
         await until(lambda: self.count(method) >= count, f"{method!r} {count} at {self.uid}")
         return self.latest[method]
 
+    def forget(self) -> None:
+        """Count from here; connections stay."""
+        for held in self.held:
+            held.got = b""
+
     def close(self) -> None:
         for sock in (self.listener, *(held.sock for held in self.held)):
             sock.close()
@@ -233,6 +238,19 @@
         (await writer.asked(writes + 1)).sock.sendall(GOOD)
         await until(lambda: client.whole == whole + 1, "the stream's end")
 
+    async def answer_anywhere(self, client: RawClient, name: str) -> None:
+        """One request read by the first engine and written by whichever other one is asked."""
+        reader, *writers = self.engines
+        reads, whole = reader.posts, client.whole
+        before = [writer.posts for writer in writers]
+        client.say(request(name))
+        (await reader.asked(reads + 1)).sock.sendall(READ)
+        await until(lambda: [writer.posts for writer in writers] != before, "a decode attempt")
+        asked = next(w for w, posts in zip(writers, before, strict=True) if w.posts > posts)
+        asked.latest[b"POST"].sock.sendall(GOOD)
+        await until(lambda: client.whole == whole + 1, "the stream's end")
+        await self.settled()
+
     async def decoding(self, client: RawClient) -> Held:
         """The first request of the day, read by now: the connection of its decode attempt."""
         client.say(request("c0"))
