Releases of a given-up prefill go on until its own engine has answered one

Symptom: what a cut-off prefill engine leaves more than 1.6 s after its request is over is never released, and what it leaves between the releases 0.5 and 1 s apart is held for longer than the limit. Cause: platform/link.py, say_again_if_due: LATE_READ counted confirmations of any engine. One that is cut off has not seen the close. Until the prefill engine itself answers a release, or refuses connections, it is said again within the limit, less a hold-up and what a release may take, for 10 s at most; after its answer 0.1, 0.5 and 1 s later as before.

--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -16,6 +16,7 @@
 from heathford.platform.running_engine import RunningProof
 from heathford.platform.silent_engines import SilentEngines
 from heathford.platform.state_release import NO_ANSWER, REFUSED, ReleaseCall, StateRelease
+from heathford.platform.unclear_prefill import UnclearPrefill
 from heathford.wire.http1 import NonsenseError, request
 from heathford.wire.socket_state import unconfirmed
 
@@ -26,8 +27,6 @@
 # request that crosses the close may have run; ten times the way between zones
 SILENCE = 4.0  # s without an event after which a stream is held for dead: clients may be kept waiting for 5
 PREFILL_ANSWER = 0.1  # s in which a prefill engine's answer comes whole once it has begun: some 100 bytes
-LATE_READ = (0.1, 0.5, 1.0)  # s after each release of a prefill that was given up until it is said again: its
-# engine may end it well after a release, and later where it is cut off and does not see that we have closed
 FAILED_AGAIN = 0.5  # s after a release that nobody confirmed until it is said again; then twice as long
 FAILED_AGAIN_MOST = 4.0  # s of these: in all they outlast a cut of several seconds
 UNCLEAR = frozenset({Verdict.CANCELLED, Verdict.TIMED_OUT, Verdict.BROKEN})  # ends of a read that may go on
@@ -152,7 +151,7 @@
         if verdict is Verdict.FINISHED:
             self.link.finished_name = self.name
         if (sent or verdict is Verdict.BROKEN) and verdict in UNCLEAR and self.endpoint.role is Role.READER:
-            self.link.unclear[self.name] = 0
+            self.link.unclear[self.name] = UnclearPrefill(self.loop.time())
         self.events.ended(verdict, detail, {}, {"kv": {}})
 
     def timed_out(self) -> None:
@@ -229,8 +228,7 @@
         self.silent_engines = SilentEngines(lambda address: self.pools.pool(*address).heard_at)
         self.tasks = Tasks("link")
         self.releases: dict[str, StateRelease] = {}  # by completion
-        # Requests whose prefill was given up, with the releases said since that no attempt has followed.
-        self.unclear: dict[str, int] = {}
+        self.unclear: dict[str, UnclearPrefill] = {}  # by request
         self.again: dict[str, asyncio.TimerHandle] = {}  # requests whose release is to be said once more
         self.ends: Counter[Verdict] = Counter()
         self.finished_name = ""  # of a request that is over and holds nothing: engines may be asked by it
@@ -245,7 +243,8 @@
         if name in self.again:
             self.again.pop(name).cancel()
         if name in self.unclear:
-            self.unclear[name] = 0  # the core has them said once this attempt is through
+            # The core has them said once this attempt is through.
+            self.unclear[name] = UnclearPrefill(self.loop.time())
         if name in self.releases:
             # Guards against a DELETE that comes after the dispatch it was sent before: it names the
             # completion, and would take the state from that one. Costs the wait for its answer.
@@ -274,6 +273,8 @@
             if not confirmed:
                 self.unreleased += 1
                 release.told_failed()
+            if confirmed and name in self.unclear:
+                self.unclear[name].was_released(release.holder_answered)
             if not release.waiting:
                 self.say_again_if_due(confirmed, endpoint, name, events, again_after)
         finally:
@@ -285,14 +286,15 @@
         self, confirmed: bool, endpoint: Endpoint, name: str, events: ReleaseEvents, again_after: float
     ) -> None:
         """A release that nobody confirmed, and a confirmed one of a prefill that may still run on."""
-        said = self.unclear.get(name, len(LATE_READ))
         if not confirmed and again_after <= FAILED_AGAIN_MOST:
             self.say_again(again_after, endpoint, name, events, 2 * again_after)
-        elif confirmed and said < len(LATE_READ):
-            self.unclear[name] = said + 1
-            self.say_again(LATE_READ[said], endpoint, name, events, FAILED_AGAIN_MOST)
-        else:
+            return
+        unclear = self.unclear.get(name)
+        late = unclear.next_after(self.loop.time(), self.pin_limit) if confirmed and unclear else None
+        if late is None:
             self.unclear.pop(name, None)
+        else:
+            self.say_again(late, endpoint, name, events, FAILED_AGAIN_MOST)
 
     def say_again(
         self, after: float, endpoint: Endpoint, name: str, events: ReleaseEvents, then_after: float
--- a/heathford/platform/state_release.py
+++ b/heathford/platform/state_release.py
@@ -102,6 +102,7 @@
         self.listeners = [events]
         self.waiting: list[Startable] = []
         self.calls: dict[asyncio.Future[int], ReleaseCall] = {}  # not answered yet
+        self.holder_answered = False  # or its process is gone
 
     def tell(self, say: Callable[[ReleaseEvents], None]) -> None:
         for events in self.listeners:
@@ -174,6 +175,8 @@
         done, _ = await asyncio.wait(self.calls, timeout=wait, return_when=asyncio.FIRST_COMPLETED)
         for status in [status for status in self.calls if status in done]:
             call = self.calls.pop(status)
+            if call.endpoint is self.holder and (status.result() > 0 or status.result() == REFUSED):
+                self.holder_answered = True
             if status.result() in GONE:
                 self.tell(lambda events, call=call: events.confirmed(call.engine))  # type: ignore[misc]
                 return True
