Sessions fronts count ages as front nodes do; the event loop rests while calls are refused

Symptoms: an engine that starts after a sessions front's wall clock was set forward looked old and got a warm engine's load; the loop of a front node used a whole core while the system had no memory for sends. Causes: fleet/follow.py, row: each age came from the wall clock as it stood. event_loop.py: a socket whose send is refused polls as writable at once. Change: fleet/engine_ages.py serves both kinds of list; RetryingEpoll.poll rests 5 ms a turn while calls are refused.

--- a/heathford/event_loop.py
+++ b/heathford/event_loop.py
@@ -17,6 +17,7 @@
 NO_MEMORY = (errno.ENOBUFS, errno.ENOMEM)
 NOT_WATCHED = (errno.ENOMEM, errno.ENOSPC)
 AGAIN = 0.01  # s between two tries to have a descriptor watched
+REST = 0.005  # s between two turns while sends or reads are refused: small beside what an event may take
 LOOP_TRIES = 25  # to have an event loop
 LOOP_AGAIN = 0.02  # s between two of them
 
@@ -24,10 +25,14 @@
 class RetryingSocket(socket.socket):
     """A connected, non-blocking socket; want of memory counts as want of room, which the loop waits out.
 
-    Guards against answers and attempts that are lost with their connection. Costs turns of the loop for as
-    long as the system has no memory.
+    Guards against answers and attempts that are lost with their connection. Costs REST a turn of the loop for
+    as long as the system has no memory.
+
+    refused: how many calls were, of all sockets.
     """
 
+    refused = 0
+
     @classmethod
     def taking(cls, connected: socket.socket) -> "RetryingSocket":
         """Take a socket's descriptor over."""
@@ -56,6 +61,7 @@
 
 def as_want_of_room(problem: OSError) -> OSError:
     if problem.errno in NO_MEMORY:
+        RetryingSocket.refused += 1
         return BlockingIOError(errno.EAGAIN, problem.strerror)
     return problem
 
@@ -72,6 +78,7 @@
         self.fileno, self.close = self.epoll.fileno, self.epoll.close
         self.known: dict[int, None] = {}
         self.refused: dict[int, int | None] = {}
+        self.refusals_seen = 0  # of calls on sockets
 
     def register(self, descriptor: int, events: int) -> None:
         self.ask(descriptor, events)
@@ -108,7 +115,13 @@
             self.known[descriptor] = None
 
     def poll(self, timeout: float = -1, most: int = -1) -> list[tuple[int, int]]:
-        """As select.epoll.poll; returns earlier while something is refused. timeout: s, none if negative."""
+        """As select.epoll.poll; returns earlier while something is refused. timeout: s, none if negative.
+
+        Guards against a loop that turns without rest, as a socket whose sends are refused polls as writable.
+        """
+        if RetryingSocket.refused != self.refusals_seen:
+            self.refusals_seen = RetryingSocket.refused
+            time.sleep(REST)
         for descriptor, events in list(self.refused.items()):
             with suppress(OSError):  # closed since
                 self.ask(descriptor, events)
--- a/heathford/fleet/follow.py
+++ b/heathford/fleet/follow.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from heathford.core.doors import Endpoint
+from heathford.fleet.engine_ages import EngineAges, ToldStart
 from heathford.interface import Health, Role
 from heathford.wire.http1 import NonsenseError, json_object
 
@@ -35,8 +36,10 @@
     """
 
     def __init__(
-        self, kinds: Mapping[str, tuple[int, Role]], zones: Sequence[str], racks: Sequence[str], seed: int
+        self, kinds: Mapping[str, tuple[int, Role]], zones: Sequence[str], racks: Sequence[str], seed: int,
+        warm_after: float = 0.0,
     ) -> None:
+        """warm_after: s after its start from which an engine is warm."""
         self.kinds, self.zones, self.racks = kinds, zones, racks
         self.random = random.Random(seed)
         self.version = 0  # of the list held; 0 before the first
@@ -45,6 +48,7 @@
         self.started: dict[tuple[str, str], float] = {}
         self.passed: dict[str, str] = {}  # engines passed over, and why
         self.failures = 0
+        self.ages = EngineAges(warm_after)
 
     def listed(self, body: bytes, now: float, wall: float) -> list[Row]:
         """A complete list. now: s on the front's clock; wall: s since 1970. Raises ListError."""
@@ -56,13 +60,15 @@
         if version < self.version:
             raise ListError(f"a list of version {version}, older than the {self.version} held")
         rows, versions, passed = [], {}, {}
+        self.ages.told(filter(None, map(self.told_start, items)), now, wall)
         for item in items:
             try:
-                name, row = self.row(item, now, wall)
+                name, row = self.row(item, now)
                 versions[name] = version_of(item.get("metadata"))
                 rows.append(row)
             except ListError as problem:
                 passed[str(item)[:80]] = str(problem)
+        self.ages.first_list_taken = True
         self.version, self.versions, self.passed = version, versions, passed
         self.failures = 0
         return rows
@@ -84,8 +90,9 @@
             return []
         if kind not in ("ADDED", "MODIFIED", "DELETED"):
             raise ListError(f"a watch event of type {kind!r}")
+        self.ages.told(filter(None, [self.told_start(item)]), now, wall)
         try:
-            name, row = self.row(item, now, wall)
+            name, row = self.row(item, now)
         except ListError as problem:
             self.passed[str(item)[:80]] = str(problem)
             return []
@@ -98,7 +105,15 @@
             row = (*row[:4], Health.GONE, *row[5:])
         return [row]
 
-    def row(self, item: Any, now: float, wall: float) -> tuple[str, Row]:
+    def told_start(self, item: Any) -> ToldStart | None:
+        """None of an engine that does not say so much."""
+        try:
+            _, role = self.kinds[item["spec"]["kind"]]
+            return ToldStart(role, datetime.fromisoformat(item["status"]["startTime"]).timestamp())
+        except (KeyError, TypeError, ValueError, OverflowError):
+            return None
+
+    def row(self, item: Any, now: float) -> tuple[str, Row]:
         try:
             name = item["metadata"]["name"]
             uid = item["metadata"].get("uid") or name
@@ -109,10 +124,9 @@
             size, health, start = float(spec.get("size", 1.0)), PHASES[status["phase"]], status["startTime"]
             number, known = int(port), number_of(uid)
             if (uid, start) not in self.started:
-                age = wall - datetime.fromisoformat(start).timestamp()
                 # Kept by what was told, so that a clock that is set does not make a running process look new.
-                # On the front's clock, which may have begun later: then it lies before zero.
-                self.started[uid, start] = now - max(age, 0.0) or 1e-6
+                told = ToldStart(role, datetime.fromisoformat(start).timestamp())
+                self.started[uid, start] = self.ages.on_front_clock(told, now)
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as problem:
             raise ListError(f"an engine that can't be read: {problem!r}") from None
         if not (host and 0 < number < 65536 and isfinite(size)):
--- a/heathford/front/process.py
+++ b/heathford/front/process.py
@@ -66,7 +66,7 @@
             safety.cold_multiple, safety.cold_window, safety.answer_margin, safety.stream_limit)
         follower = Follower(
             {k.name: (place, Role(k.role)) for place, k in enumerate(kinds)}, zones,
-            [r.name for r in script.all("rack")], seed)
+            [r.name for r in script.all("rack")], seed, safety.warm_after)
         self.registry = Registry(*registry, follower, self.core.list_changed, source=self.declared.address)
         figures = script.only("sessions")
         offers = Offers(
