--- a/heathford/soak/client.py
+++ b/heathford/soak/client.py
@@ -19,7 +19,7 @@
 LATEST = 2.0  # s past its budget for which a client waits: what comes then is late
 THINKS = (0.05, 0.5)  # s between two requests, between
 BUDGETS = (0.3, 0.5, 1.0)  # of the deployment's longest deadline
-SIZES = (36, 2_000, 60_000)  # bytes of a prompt
+SIZES = (36, 2_000, 60_000, 250_000)  # bytes of a prompt; a body may have 256 KiB
 CLASSES = ("chat", "booking", "order")
 LEAVE_PART = 0.05  # of requests whose client leaves, without any trouble
 
--- a/heathford/soak/plan.py
+++ b/heathford/soak/plan.py
@@ -9,9 +9,12 @@
 
 TOUCH = 0.1  # s from a step of one trouble to the beginning of the next
 QUIET = 1.0  # s at the beginning and the end of a run without trouble
+WINDOWS = (0.6, 1.5)  # s for which a keyed repeat is known, drawn for each run: silences outlast both
 DEADLINES = (0.4, 1.0, 3.0)  # s: the longest of the deployment, drawn for each run
 TIMES_SILENT = 3  # times that the engines of a role fall silent together
 BETWEEN_SILENT = 0.6  # s between two of these
+STOPS_IN_STEPS = 3  # front nodes held up while a link is read in steps
+STOP_SECONDS = (0.05, 0.15)  # s of these, between
 
 
 class Kind(Enum):
@@ -39,6 +42,7 @@
     LINK_CUT = "link of an engine: cut after some bytes"
     LINK_RESET = "link of an engine: reset"
     LINK_REFUSED = "link of an engine: refused"
+    LINK_STEPS = "link of an engine: small receive buffer, read in steps, front nodes held up meanwhile"
     LINK_UNREAD = "link of an engine: accepts and never reads"
     DISCOVERY_SILENT = "discovery: silent"
     DISCOVERY_SLOW = "discovery: late"
@@ -66,17 +70,20 @@
 
 @dataclass(frozen=True)
 class Plan:
-    """One run. longest_deadline: s that a client of the deployment may wait at most."""
+    """One run. longest_deadline: s that a client of the deployment may wait at most; window: s for which a
+    keyed repeat is known."""
 
     seed: int
     seconds: float
     troubles: tuple[Trouble, ...]
     longest_deadline: float = 3.0
+    window: float = 1.5
 
     def printed(self) -> str:
         """As JSON, read back by `read`."""
         rows = [{**asdict(trouble), "kind": trouble.kind.name} for trouble in self.troubles]
-        said = {"seed": self.seed, "seconds": self.seconds, "longest_deadline": self.longest_deadline}
+        said = {"seed": self.seed, "seconds": self.seconds, "longest_deadline": self.longest_deadline,
+                "window": self.window}
         return json.dumps({**said, "troubles": rows}, indent=1)
 
     @property
@@ -101,13 +108,14 @@
             for row in said["troubles"]
         ),
         said.get("longest_deadline", 3.0),
+        said.get("window", 1.5),
     )
 
 
 def draw(seed: int, seconds: float) -> Plan:
     """Groups of two or three troubles that touch: each begins within TOUCH of a step of an earlier one."""
     random = Random(seed)
-    longest_deadline = random.choice(DEADLINES)
+    longest_deadline, window = random.choice(DEADLINES), random.choice(WINDOWS)
     troubles: list[Trouble] = []
     at = QUIET
     while at < seconds - QUIET:
@@ -121,10 +129,13 @@
                 round(random.choice((0.15, 0.4, 1.0, 2.5)) * random.uniform(0.8, 1.2), 3),
             )
             troubles += repeated(trouble)
+            if trouble.kind is Kind.LINK_STEPS:
+                troubles += stops_beside(trouble, random)
             steps += [trouble.at, trouble.at + trouble.seconds]
         at += random.uniform(0.7, 1.6)
     in_time = [trouble for trouble in troubles if trouble.at < seconds]
-    return Plan(seed, seconds, tuple(sorted(in_time, key=lambda trouble: trouble.at)), longest_deadline)
+    return Plan(seed, seconds, tuple(sorted(in_time, key=lambda trouble: trouble.at)), longest_deadline,
+                window)
 
 
 def repeated(trouble: Trouble) -> list[Trouble]:
@@ -134,6 +145,15 @@
     return [replace(trouble, at=round(trouble.at + number * apart, 3)) for number in range(times)]
 
 
+def stops_beside(trouble: Trouble, random: Random) -> list[Trouble]:
+    """Front nodes that are held up while a link reads on."""
+    return [
+        Trouble(Kind.STOP_SHORT, random.randrange(1_000),
+                round(trouble.at + random.uniform(0.0, trouble.seconds), 3),
+                round(random.uniform(*STOP_SECONDS), 3))
+        for _ in range(STOPS_IN_STEPS)]
+
+
 def shrink(plan: Plan, fails: Callable[[Plan], bool], tries: int) -> Plan:
     """Drop troubles one after the other for as long as it still fails, with so many runs at most."""
     troubles: Sequence[Trouble] = plan.troubles
--- a/heathford/soak/relay.py
+++ b/heathford/soak/relay.py
@@ -12,6 +12,8 @@
 SMALL_BUFFER = 4_096  # bytes: of a connection that is accepted and never read
 DRIP_EVERY = 0.002  # s from byte to byte
 DRIP_BYTES = 200  # that come byte by byte before the rest
+STEP_EVERY = 0.1  # s between two steps of a link that is read in steps: front nodes look after 0.12 s
+STEP_READS = 0.004  # s of a step: some tens of kilobytes
 LATE = 0.2  # s by which a late link is late
 SILENT = (Kind.LINK_SILENT, Kind.DISCOVERY_SILENT, Kind.ENGINE_STOPPED)  # read, and not passed on
 FILLERS = 2  # connections that fill an accept queue of length 0
@@ -112,6 +114,8 @@
         self.open[writer] = watcher = self.watcher()
         far_writer: asyncio.StreamWriter | None = None
         try:
+            if Kind.LINK_STEPS in self.troubles:
+                self.read_in_steps(writer)
             if Kind.LINK_UNREAD in self.troubles:
                 writer.get_extra_info("socket").setsockopt(
                     socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER
@@ -137,6 +141,20 @@
                     self.open.pop(end, None)
                     end.close()
 
+    def read_in_steps(self, writer: asyncio.StreamWriter) -> None:
+        """While that trouble lasts, this connection is read for a moment now and then."""
+        async def steps() -> None:
+            transport = writer.transport
+            while Kind.LINK_STEPS in self.troubles and not transport.is_closing():
+                transport.pause_reading()  # type: ignore[attr-defined]
+                await asyncio.sleep(STEP_EVERY)
+                transport.resume_reading()  # type: ignore[attr-defined]
+                await asyncio.sleep(STEP_READS)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+        task = asyncio.create_task(steps())
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
     async def pump(
         self,
         reader: asyncio.StreamReader,
--- a/heathford/soak/run.py
+++ b/heathford/soak/run.py
@@ -36,13 +36,12 @@
 CLIENT_TROUBLES = (Kind.CLIENTS_LEAVE, Kind.CLIENTS_BAD)
 ROLL_EVERY = 0.3  # s between two front nodes that are told to end
 CROWD_SIZE = 300  # connections: more than a front node has descriptors for clients
-WINDOW = 1.5  # s for which a keyed repeat is known
 SEEN_LAST = 1.0  # s after the last trouble until the run is over
 EFFECTS = {"chat": "free", "booking": "single_shot", "order": "guarded"}
 
 
-def soak_settings(fronts: int, longest_deadline: float) -> dict[str, Any]:
-    """What front nodes are told. longest_deadline: s."""
+def soak_settings(fronts: int, longest_deadline: float, window: float) -> dict[str, Any]:
+    """What front nodes are told. longest_deadline, window: s."""
     told = settings()
     told["nInstances"] = fronts
     for category in told["categories"]:
@@ -53,7 +52,7 @@
         "name": "order",
         "idempotency": "guarded",
         "group": "zone",
-        "keyTtlNs": int(WINDOW * SECOND),
+        "keyTtlNs": int(window * SECOND),
     }
     told["categories"].append(order)
     told["familyInfo"]["tokenAimNs"] = 3 * [told["familyInfo"]["tokenAimNs"][0]]
@@ -94,13 +93,13 @@
 
     @property
     def limits(self) -> Limits:
-        told = soak_settings(self.count, self.plan.longest_deadline)
+        told = soak_settings(self.count, self.plan.longest_deadline, self.plan.window)
         safety = told["safety"]
         window = safety["fallNs"] / SECOND
         return Limits(
             pin=told["familyInfo"]["pinLimitNs"] / SECOND,
             grace=GRACE,
-            window=WINDOW,
+            window=self.plan.window,
             effects=EFFECTS,
             cold_budget=safety["tipMultiple"] * safety["coldFrom"] * CAPACITY * window,
             cold_window=window,
@@ -144,7 +143,7 @@
             FrontProcess(
                 f"n{number}",
                 self.folder,
-                soak_settings(self.count, self.plan.longest_deadline),
+                soak_settings(self.count, self.plan.longest_deadline, self.plan.window),
                 addresses,
                 self.shims(number),
                 self.note,
