--- a/tests/test_repeat_beside_silence.py
+++ b/tests/test_repeat_beside_silence.py
@@ -150,3 +150,28 @@
                 (await other.asked(before + 1)).sock.sendall(GOOD)
                 await until(lambda: client.whole == 2, "its answer")
     run_day(tmp_path, day, prefill(), decode("w"), decode("w2"), setting=add_orders)
+
+
+def test_a_repeat_is_not_read_late_by_an_engine_that_stops_right_after_its_answer(tmp_path: Path) -> None:
+    """What is left: an engine that answers, and is stopped before the repeat which follows comes to it."""
+    async def day(play: Day) -> None:
+        reader = play.engines[0]
+        client = play.client()
+        await play.answer_anywhere(client, "c0")
+        async with Running(reader):
+            client.say(request("c1", request_class="order"))
+            first, other, held = await attempt_at(play, "c1")
+            ran_at = monotonic()
+            held.sock.close()
+            before, seen, stopped = other.posts, first.posts, False
+            async with Running(first):
+                while monotonic() < ran_at + WINDOW + LATER:
+                    if not stopped and other.deletes:
+                        other.latest[b"DELETE"].sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
+                        stopped = True  # it reads nothing more
+                    if first.posts > seen:
+                        seen = first.posts
+                        first.latest[b"POST"].sock.close()
+                    await asyncio.sleep(0.005)
+            assert other.posts == before
+    run_day(tmp_path, day, prefill(), decode("w"), decode("w2"), setting=add_orders, tryLimit=TRIES)
