One dispatch to an engine is a module of its own: platform/engine_call.py

Moved as it was, with the constants that only it uses; tests import it from there. No behaviour changes.

--- /dev/null
+++ b/heathford/platform/engine_call.py
@@ -0,0 +1,192 @@
+"""One dispatch to an engine in the platform's protocol: sent, answered, given up."""
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+from heathford.core.doors import Arrival, CallEvents, Endpoint
+from heathford.interface import Role, Verdict
+from heathford.platform.answers import Answer
+from heathford.platform.exchange import EngineConnection, Exchange
+from heathford.platform.running_engine import RunningProof
+from heathford.platform.state_release import REFUSED, ReleaseCall
+from heathford.platform.unclear_prefill import UnclearPrefill
+from heathford.wire.http1 import NonsenseError, request
+from heathford.wire.socket_state import unconfirmed
+
+if TYPE_CHECKING:
+    from heathford.platform.link import PlatformLink
+
+SILENCE = 4.0  # s without an event after which a stream is held for dead: clients may be kept waiting for 5
+PREFILL_ANSWER = 0.1  # s in which a prefill engine's answer comes whole once it has begun: some 100 bytes
+UNCLEAR = frozenset({Verdict.CANCELLED, Verdict.TIMED_OUT, Verdict.BROKEN})  # ends of a read that may go on
+
+
+class EngineCall(Exchange):
+    """One dispatch. Ends once, with the first thing that ends it."""
+
+    link: "PlatformLink"
+
+    def __init__(
+        self, link: "PlatformLink", endpoint: Endpoint, name: str, body: tuple[str, bytes], mark: str,
+        timeout: float, events: CallEvents,
+    ) -> None:
+        super().__init__(link, endpoint, timeout)
+        self.name, self.body, self.mark, self.events = name, body, mark, events
+        self.answer = Answer(endpoint.role is Role.READER)
+        self.heard_at = 0.0  # when the last event came
+        self.begun = False  # events of a stream have come
+        self.answer_begun = False  # of a prefill engine
+        self.engine_runs = False  # shown on the connection that is used
+        self.was_accepted = False  # that connection had been answered on before
+
+    def start(self) -> None:
+        if self.over:
+            return
+        left = self.until - self.loop.time()
+        if left <= 0.0:
+            self.end(Verdict.UNSENT)
+            return
+        self.connect(self.encoded, min(left, self.link.connect_timeout))
+
+    def wait_for_release(self) -> None:
+        """Guards against an attempt that waits past its time behind a release which nobody confirms."""
+        self.expect(max(0.0, self.until - self.loop.time()), self.withdraw)
+
+    def begin(self, connection: EngineConnection, data: Callable[[], bytes]) -> None:
+        if self.events.needs_running_engine() and not self.engine_runs:
+            self.prove_that_engine_runs(connection, data)
+        elif not self.events.wanted():
+            self.link.give_back(connection)
+            self.end(Verdict.UNSENT)
+        else:
+            self.was_accepted = connection.heard
+            super().begin(connection, data)
+
+    def prove_that_engine_runs(self, connection: EngineConnection, data: Callable[[], bytes]) -> None:
+        """First, on the connection that is to be used. What is left is an engine that stops between its
+        answer and the last byte of this attempt."""
+        if not self.link.finished_name:
+            self.link.give_back(connection)
+            self.end(Verdict.UNSENT)  # there is nothing to ask it by yet
+            return
+        if self.timer:
+            self.timer.cancel()
+
+        def proven(answered: EngineConnection) -> None:
+            if self.over:
+                self.link.give_back(answered)
+            else:
+                self.engine_runs = True
+                self.begin(answered, data)
+
+        proof = RunningProof(self.link, self.endpoint, self.link.finished_name, proven, self.unreached)
+        proof.start(connection)
+
+    def ask_whether_read(self, state_waits: bool, within: float, told: Callable[[bool], None]) -> None:
+        """By a release in the name of a request that is over, else of its own. On a new connection where the
+        one of the attempt may still wait to be accepted: connections are accepted in their order."""
+        name = self.link.finished_name or ("" if state_waits else self.name)
+        if not name:
+            self.loop.call_soon(told, False)
+            return
+        asked = ReleaseCall(self.link, self.endpoint, name, within, fresh=not self.was_accepted)
+        asked.status.add_done_callback(lambda status: told(status.result() > 0 or status.result() == REFUSED))
+
+    def encoded(self) -> bytes:
+        (target, body), self.body = self.body, ("", b"")  # written once: not kept while the answer streams
+        left = max(1, int(1000 * (self.until - self.loop.time())))
+        headers = {"X-Call-Id": self.name, "X-Budget-Ms": str(left)}
+        if self.mark:
+            headers["Idempotency-Key"] = self.mark
+        return request("POST", target, self.endpoint.address, headers, body)
+
+    def cancel(self) -> None:
+        self.end(Verdict.CANCELLED)
+
+    def withdraw(self) -> None:
+        """Also where part of a long request has left: an engine starts on what is whole."""
+        if self.connection is None or self.connection.unwritten:
+            self.end(Verdict.UNSENT)
+
+    def give_up_unless_arrived(self) -> Arrival:
+        """Guards against what prefill holds for a request that never gets to its decode engine. Once the
+        kernel has the last byte it may have run for all we know: the kernel sends on until the socket is
+        closed, whatever it held when it was asked."""
+        if self.over or self.begun:
+            return Arrival.ANSWERED
+        if self.connection is None or self.connection.unwritten:
+            self.end(Verdict.UNREACHABLE)
+            return Arrival.UNSENT
+        if unconfirmed(self.connection.transport):
+            self.end(Verdict.UNARRIVED)
+            return Arrival.UNCONFIRMED
+        return Arrival.CONFIRMED
+
+    def end(self, verdict: Verdict, detail: int = 0, keep: bool = False) -> None:
+        if self.over:
+            return
+        sent = self.connection is not None
+        self.stop(keep)
+        self.link.ends[verdict] += 1
+        if verdict is Verdict.FINISHED:
+            self.link.finished_name = self.name
+        if (sent or verdict is Verdict.BROKEN) and verdict in UNCLEAR and self.endpoint.role is Role.READER:
+            self.link.unclear[self.name] = UnclearPrefill(self.loop.time())
+        self.events.ended(verdict, detail, {}, {"kv": {}})
+
+    def timed_out(self) -> None:
+        self.end(Verdict.TIMED_OUT)
+
+    def unreached(self) -> None:
+        """Nothing of it was sent."""
+        self.end(Verdict.UNREACHABLE)
+
+    def crowded(self) -> None:
+        """All our connections are in use: nothing was sent, and for us this engine is full."""
+        self.end(Verdict.CROWDED)
+
+    def lost(self, unwritten: bool) -> None:
+        self.connection = None
+        self.end(Verdict.UNREACHABLE if unwritten else Verdict.BROKEN)
+
+    def closed_by_engine(self) -> None:
+        self.answer.response.closed()
+        if self.answer.response.done:
+            self.heard(b"")
+
+    def heard(self, data: bytes) -> None:
+        try:
+            events = self.answer.feed(data)
+            done = self.answer.response.done
+            verdict, detail = self.answer.verdict() if done else (Verdict.ERROR, 0)
+        except NonsenseError as problem:
+            self.link.nonsense(self.endpoint, problem)
+            self.end(Verdict.ERROR)
+            return
+        if events:
+            self.heard_at = self.loop.time()
+            if not self.begun:
+                self.begun = True
+                self.events.first_token()
+                self.expect(SILENCE, self.look_for_silence)
+            self.events.tokens(events)
+        if done:
+            self.end(verdict, detail, keep=self.answer.keep)
+        elif self.endpoint.role is Role.READER and not self.answer_begun:
+            self.begin_prefill_answer()
+
+    def begin_prefill_answer(self) -> None:
+        """Guards against a state that its engine holds while the rest of its answer never comes. Costs a
+        second read where the rest would have come later."""
+        self.answer_begun = True
+        self.events.answer_begun()
+        left = self.until - self.loop.time()
+        self.expect(max(0.0, min(PREFILL_ANSWER, left)), self.timed_out)
+
+    def look_for_silence(self) -> None:
+        """One timer that looks again, not one an event."""
+        left = self.heard_at + SILENCE - self.loop.time()
+        if left <= 0.0:
+            self.end(Verdict.TIMED_OUT)
+        else:
+            self.expect(left, self.look_for_silence)
--- a/tests/test_attempt_left_in_kernel.py
+++ b/tests/test_attempt_left_in_kernel.py
@@ -21,7 +21,7 @@
 from raw_peers import Day, Held, RawEngine, answer_releases, decode, prefill, request, run_day
 
 from heathford.platform.exchange import EngineConnection
-from heathford.platform.link import EngineCall
+from heathford.platform.engine_call import EngineCall
 from heathford.standin.platform import READ
 
 LARGE = 200_000  # bytes of a prompt, within the 256 KiB of a body
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -12,7 +12,8 @@
 
 from heathford.core.doors import Endpoint
 from heathford.interface import Role, Verdict
-from heathford.platform.link import EngineCall, PlatformLink
+from heathford.platform.engine_call import EngineCall
+from heathford.platform.link import PlatformLink
 from heathford.platform.release_schedule import next_to_ask
 
 BUSY = b"HTTP/1.1 503 Service Unavailable\r\nX-Rejected: 1\r\nContent-Length: 0\r\n\r\n"
