Tests of waits for unread attempts, by policy, gate and both links; the soak draws more silences

Every second run of the soak draws engines that fall silent four times as often, and windows are 0.9 or 1.5 s: within 0.6 s no front node repeats a keyed request, so that window met nothing.

--- a/heathford/soak/plan.py
+++ b/heathford/soak/plan.py
@@ -9,8 +9,9 @@
 
 TOUCH = 0.1  # s from a step of one trouble to the beginning of the next
 QUIET = 1.0  # s at the beginning and the end of a run without trouble
-WINDOWS = (0.6, 1.5)  # s for which a keyed repeat is known, drawn for each run: silences outlast both
+WINDOWS = (0.9, 1.5)  # s for which a keyed repeat is known, drawn for each run: silences outlast both
 DEADLINES = (0.4, 1.0, 3.0)  # s: the longest of the deployment, drawn for each run
+SILENCES_DRAWN = 4  # times as often as other kinds, in every second run: one trouble on many requests
 TIMES_SILENT = 3  # times that the engines of a role fall silent together
 BETWEEN_SILENT = 0.6  # s between two of these
 STOPS_IN_STEPS = 3  # front nodes held up while a link is read in steps
@@ -112,10 +113,14 @@
     )
 
 
+SILENCES = (Kind.LINK_SILENT, Kind.ENGINE_STOPPED, Kind.ROLE_SILENT, Kind.LINK_UNREAD)
+
+
 def draw(seed: int, seconds: float) -> Plan:
     """Groups of two or three troubles that touch: each begins within TOUCH of a step of an earlier one."""
     random = Random(seed)
     longest_deadline, window = random.choice(DEADLINES), random.choice(WINDOWS)
+    kinds = list(Kind) + (SILENCES_DRAWN - 1) * list(SILENCES) * random.choice((0, 1))
     troubles: list[Trouble] = []
     at = QUIET
     while at < seconds - QUIET:
@@ -123,7 +128,7 @@
         for _ in range(random.choice((2, 3, 3))):
             begin = max(QUIET, random.choice(steps) + random.uniform(-TOUCH, TOUCH))
             trouble = Trouble(
-                random.choice(list(Kind)),
+                random.choice(kinds),
                 random.randrange(1_000),
                 round(begin, 3),
                 round(random.choice((0.15, 0.4, 1.0, 2.5)) * random.uniform(0.8, 1.2), 3),
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -105,6 +105,16 @@
     assert watched.gate.may_send(life, life.attempts[1], HERE, True, now) is reason
 
 
+@pytest.mark.parametrize("effect, reason", [
+    (Effect.TOKENED, Reason.EARLIER_UNREAD), (Effect.IDEMPOTENT, Reason.ALLOWED)])
+def test_no_keyed_repeat_beside_an_attempt_that_may_yet_be_read(effect: Effect, reason: Reason) -> None:
+    watched, life = Watched(), life_of(effect)
+    life.attempts = [Attempt(HERE, False, 0.0, Verdict.BROKEN, True), Attempt(HERE, False, 0.1)]
+    assert watched.gate.may_send(life, life.attempts[1], HERE, True, 0.2) is reason
+    life.attempts[0].may_be_read_later = False
+    assert watched.gate.may_send(life, life.attempts[1], HERE, True, 0.2) is Reason.ALLOWED
+
+
 @pytest.mark.parametrize("group, target, reason", [
     (Group.ALL, ELSEWHERE, Reason.ALLOWED), (Group.ZONE, SAME_ZONE, Reason.ALLOWED),
     (Group.ZONE, ELSEWHERE, Reason.OUTSIDE_GROUP), (Group.CELL, HERE, Reason.ALLOWED),
--- a/tests/test_late_prefill.py
+++ b/tests/test_late_prefill.py
@@ -14,8 +14,11 @@
 from pathlib import Path
 from time import monotonic
 
+import pytest
 from raw_peers import Day, RawEngine, answer_releases, request, run_day
 
+from heathford.platform.unclear_prefill import FOLLOWED_FOR, UnclearPrefill
+
 LIMIT = 0.3  # s, as the stand-in's settings have it
 ALLOWANCE = 0.3  # s more, as the users state
 CUT = 3.0  # s for which the prefill engine says nothing
@@ -55,3 +58,27 @@
         for task in (answering, back):
             task.cancel()
     run_day(tmp_path, day)
+
+
+@pytest.mark.parametrize("answered_at, releases", [
+    (1, [0.1, 0.5, 1.0, None]), (3, [0.1, 0.35, 0.1, 0.5, 1.0, None])])
+def test_releases_follow_the_answer_of_the_engine_itself(
+    answered_at: int, releases: list[float | None]
+) -> None:
+    """answered_at: the release, by its number, that the prefill engine answers itself."""
+    unclear, now, found = UnclearPrefill(since=0.0), 0.0, []
+    for number in range(1, len(releases) + 1):
+        unclear.was_released(by_its_engine=number == answered_at)
+        after = unclear.next_after(now, LIMIT)
+        found.append(after)
+        now += after or 0.0
+    assert found == pytest.approx(releases)
+
+
+def test_an_engine_that_never_comes_back_is_not_followed_for_good() -> None:
+    unclear, now = UnclearPrefill(since=0.0), 0.0
+    while (after := unclear.next_after(now, LIMIT)) is not None:
+        unclear.was_released(by_its_engine=False)
+        now += after
+        assert after <= LIMIT + ALLOWANCE
+    assert FOLLOWED_FOR <= now <= FOLLOWED_FOR + LIMIT + ALLOWANCE
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -232,3 +232,60 @@
         if letting.is_over(answers[said - 1]):
             break
     assert said == tries and now <= 10.3
+
+
+class Repeat(Seen):
+    """A keyed attempt beside an earlier one that may have run."""
+
+    def needs_running_engine(self) -> bool:
+        return True
+
+
+@pytest.mark.parametrize("says, then, sent, verdict", [
+    (whole(204, b""), "keep", ["DELETE", "POST"], Verdict.ERROR),
+    (b"", "silence", ["DELETE"], Verdict.UNREACHABLE),
+    (b"", "reset", ["DELETE"], Verdict.UNREACHABLE),
+    (whole(204, b"", b"Connection: close\r\n"), "keep", ["DELETE"], Verdict.UNREACHABLE)])
+def test_a_keyed_repeat_begins_only_where_its_engine_has_just_answered(
+    says: bytes, then: str, sent: list[str], verdict: Verdict
+) -> None:
+    """On the connection that is used: else it lay there unread until its key was known no more."""
+    async def run() -> None:
+        engine, seen = Scripted(says, then), Repeat()
+        server = await asyncio.start_server(engine.serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        the_link = link()
+        endpoint = Endpoint(1, "e", Role.WRITER, "127.0.0.1", port)
+        the_link.send(endpoint, "c.1", {"prompt": "x"}, None, "key", 1.0, seen)
+        await asyncio.wait_for(seen.over.wait(), 5.0)
+        the_link.stop()
+        server.close()
+        assert [head.split(b" ", 1)[0].decode() for head in engine.heads] == sent
+        assert seen.verdict is verdict and engine.connections == 1
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("says, then, read", [
+    (whole(204, b""), "keep", True), (whole(404, b""), "keep", True), (b"", "silence", False),
+    (b"", "refuse", True)])
+def test_an_engine_has_read_an_attempt_once_it_answers_or_its_process_is_gone(
+    says: bytes, then: str, read: bool
+) -> None:
+    async def run() -> None:
+        engine, told = Scripted(says, then), list[bool]()
+        server = await asyncio.start_server(engine.serve, "127.0.0.1", 0)
+        endpoint = Endpoint(1, "e", Role.WRITER, "127.0.0.1", server.sockets[0].getsockname()[1])
+        if then == "refuse":
+            server.close()
+            await server.wait_closed()
+        the_link = link()
+        call = the_link.send(endpoint, "c.0", {"prompt": "x"}, None, "", 1.0, Seen())
+        call.cancel()
+        call.ask_whether_read(False, 0.2, told.append)
+        async with asyncio.timeout(5.0):
+            while not told:
+                await asyncio.sleep(0.005)
+        the_link.stop()
+        server.close()
+        assert told == [read]
+    asyncio.run(run())
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -644,6 +644,41 @@
     assert [asked[0] for asked in b.asked()] == [answer] * bool(answer)
 
 
+@pytest.mark.parametrize("group, answer", [(Group.ALL, "rate_limit"), (Group.ZONE, "abort")])
+def test_a_tokened_one_waits_for_the_engine_of_an_attempt_that_may_yet_be_read(
+    bench: New, group: Group, answer: str
+) -> None:
+    """To the end of its window, and its state no longer than a state may wait."""
+    b = bench(effect=TOKENED, group=group)
+    b.engines((10, 0), (12, 1), (22, 1))
+    c = b.take(due=b.now + 60.0)
+    b.end(c, Verdict.READ)
+    b.asked()
+    c.may_be_read_later(1, True)
+    b.end(c, Verdict.BROKEN, after=0.01)
+    b.wait(0.05)
+    assert b.asked() == []
+    b.wait(0.25)
+    assert b.asked() == [("release",)]
+    b.wait(1.2)
+    assert b.asked() == []
+    b.wait(0.4)
+    assert b.asked() == [(answer,)]
+
+
+def test_a_tokened_one_is_repeated_as_soon_as_that_engine_has_read_on(bench: New) -> None:
+    b = bench(effect=TOKENED)
+    b.engines((10, 0), (12, 1), (22, 1))
+    c = b.take(due=b.now + 60.0)
+    b.end(c, Verdict.READ)
+    c.may_be_read_later(1, True)
+    b.end(c, Verdict.BROKEN, after=0.01)
+    b.asked()
+    c.may_be_read_later(1, False)
+    b.router.decide()
+    assert [asked[0] for asked in b.asked()] == ["send"]
+
+
 @pytest.mark.parametrize("beside, then", [([], "rate_limit"), ([(14, 2)], "send")])
 def test_one_try_left_with_nobody_to_read_and_write_is_answered_at_once(
     bench: New, beside: list[tuple[int, int]], then: str
