A send whose last byte stays here for 0.1 s is given up: its deadline would be out of date

Cause: platform/engine_call.py, begin: the head tells the deadline and leaves at once, and nothing bounded the time to the last byte. Decode attempts are looked at for arrival, prefill attempts are not. Change: give_up_slow_send ends it as UNREACHABLE while its last byte is in user space: it has not run.

--- a/heathford/platform/engine_call.py
+++ b/heathford/platform/engine_call.py
@@ -16,6 +16,8 @@
 if TYPE_CHECKING:
     from heathford.platform.link import PlatformLink
 
+SENT_WITHIN = 0.1  # s from the first byte of an attempt until its last one leaves this process; the kernel's
+# part follows within the 0.15 s by which the deadline told may be more than what is left
 SILENCE = 4.0  # s without an event after which a stream is held for dead: clients may be kept waiting for 5
 PREFILL_ANSWER = 0.1  # s in which a prefill engine's answer comes whole once it has begun: some 100 bytes
 UNCLEAR = frozenset({Verdict.CANCELLED, Verdict.TIMED_OUT, Verdict.BROKEN})  # ends of a read that may go on
@@ -61,6 +63,14 @@
         else:
             self.was_accepted = connection.heard
             super().begin(connection, data)
+            if connection.unwritten:
+                self.loop.call_later(SENT_WITHIN, self.give_up_slow_send, connection)
+
+    def give_up_slow_send(self, connection: EngineConnection) -> None:
+        """Guards against a deadline, told by the head of a long request, that is out of date when all of it has
+        arrived. Its last byte is still here: it has not run. Could harm where all engines read as slowly."""
+        if not self.over and connection.unwritten:
+            self.end(Verdict.UNREACHABLE)
 
     def prove_that_engine_runs(self, connection: EngineConnection, data: Callable[[], bytes]) -> None:
         """First, on the connection that is to be used. What is left is an engine that stops between its
