--- a/heathford/platform/engine_call.py
+++ b/heathford/platform/engine_call.py
@@ -67,8 +67,8 @@
                 self.loop.call_later(SENT_WITHIN, self.give_up_slow_send, connection)
 
     def give_up_slow_send(self, connection: EngineConnection) -> None:
-        """Guards against a deadline, told by the head of a long request, that is out of date when all of it has
-        arrived. Its last byte is still here: it has not run. Could harm where all engines read as slowly."""
+        """Guards against a deadline, told by the head of a long request, that is out of date when the rest
+        has come. Its last byte is still here: it has not run. Could harm where all engines read as slowly."""
         if not self.over and connection.unwritten:
             self.end(Verdict.UNREACHABLE)
 
