--- a/heathford/soak/run.py
+++ b/heathford/soak/run.py
@@ -335,12 +335,14 @@
 
 
 async def crowd(port: int, seconds: float) -> None:
-    """Connections that say nothing, more than a front node keeps."""
+    """Connections that say nothing, more than a front node keeps; gone after so many s, all opened or not."""
+    ends = monotonic() + seconds
     writers = []
-    for _ in range(CROWD_SIZE):
+    while len(writers) < CROWD_SIZE and monotonic() < ends:
         with suppress(OSError):
             writers.append((await asyncio.open_connection("127.0.0.1", port))[1])
-    await asyncio.sleep(seconds)
+        await asyncio.sleep(0)
+    await asyncio.sleep(max(0.0, ends - monotonic()))
     for writer in writers:
         writer.transport.abort()
 
