Signals to child processes no longer take their exit status from asyncio

Cause: in the tests, not in the front node. Process.send_signal, terminate and kill of asyncio call Popen.poll() first; where the child has just ended that reaps it, and asyncio's watcher finds no child left and reports 255.

All now go through heathford/child_signals.py (os.kill); no assertion changed.

--- a/heathford/days/faults.py
+++ b/heathford/days/faults.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+from heathford.child_signals import send_signal
 from heathford.days.recording import Recording
 from heathford.days.tap import Relay
 from heathford.local.deployment import LONG_AGO, Deployment, entry
@@ -160,8 +161,7 @@
     async def end_front(self, name: str, lasts: float, kill: bool) -> None:
         front = self.deployment.fronts[name]
         self.recording.note("day", "killed" if kill else "stopping", front=name)
-        if front.process.returncode is None:
-            front.process.send_signal(signal.SIGKILL if kill else signal.SIGTERM)
+        send_signal(front.process, signal.SIGKILL if kill else signal.SIGTERM)
         await front.process.wait()
         self.recording.note("day", "front ended", front=name, code=front.process.returncode)
         if lasts:
--- a/heathford/local/deployment.py
+++ b/heathford/local/deployment.py
@@ -11,6 +11,7 @@
 import orjson
 import structlog
 
+from heathford.child_signals import send_signal
 from heathford.script.script import Declared, Script
 
 PATIENCE = 20.0  # s for a process to say that it is ready: a dozen Pythons start together
@@ -39,23 +40,21 @@
             line = await asyncio.wait_for(process.stdout.readline(), PATIENCE)
             return cls(name, process, orjson.loads(line))
         except (TimeoutError, orjson.JSONDecodeError):
-            if process.returncode is None:
-                process.kill()
+            send_signal(process, signal.SIGKILL)
             raise RuntimeError(f"{name} did not start") from None
 
     async def end(self, patience: float = 5.0) -> int:
         if self.process.returncode is None:
-            self.process.terminate()
+            send_signal(self.process, signal.SIGTERM)
             try:
                 await asyncio.wait_for(self.process.wait(), patience)
             except TimeoutError:
-                self.process.kill()
+                send_signal(self.process, signal.SIGKILL)
                 await self.process.wait()
         return self.process.returncode or 0
 
     def kill(self) -> None:
-        if self.process.returncode is None:
-            self.process.kill()
+        send_signal(self.process, signal.SIGKILL)
 
 
 def entry(script: Script, engine: Declared, address: str, phase: str, start: str) -> dict[str, Any]:
--- a/heathford/soak/front.py
+++ b/heathford/soak/front.py
@@ -14,6 +14,7 @@
 
 import orjson
 
+from heathford.child_signals import send_signal
 from heathford.ports import reserved_port
 from heathford.soak.client import FrontAddress
 from heathford.soak.plan import Kind
@@ -155,9 +156,8 @@
         self.note(Record(monotonic(), kind, self.name, "", "", value, text))
 
     def send(self, number: signal.Signals) -> None:
-        if self.process and self.process.returncode is None:
-            with suppress(ProcessLookupError):
-                self.process.send_signal(number)
+        if self.process:
+            send_signal(self.process, number)
 
     def may_be_reloaded(self) -> bool:
         """The pages: SIGHUP comes never in a process's first second, nor before it is ready."""
@@ -197,8 +197,7 @@
                     await process.wait()
         self.address.ready = False
         self.send(signal.SIGCONT)
-        if process.returncode is None:
-            process.kill()
+        send_signal(process, signal.SIGKILL)
         if self.reading:
             await asyncio.wait({self.reading})  # a cancelled wait does not cancel what reads the log
         if not self.over:
@@ -237,8 +236,7 @@
     async def stop(self) -> None:
         self.over = self.ends = True
         self.send(signal.SIGCONT)
-        if self.process and self.process.returncode is None:
-            self.process.kill()
+        self.send(signal.SIGKILL)
         if self.reading:
             await asyncio.wait({self.reading})
         self.reserved.close()
--- a/tests/engine_processes.py
+++ b/tests/engine_processes.py
@@ -5,9 +5,9 @@
 import signal
 import sys
 import textwrap
-from contextlib import suppress
 from typing import Any
 
+from heathford.child_signals import send_signal
 from heathford.standin.platform import READ
 
 LISTENS = """
@@ -58,7 +58,7 @@
     def stop(self) -> None:
         """SIGSTOP: its machine accepts connections and bytes, and nobody reads them."""
         assert self.process
-        self.process.send_signal(signal.SIGSTOP)
+        send_signal(self.process, signal.SIGSTOP)
 
     @property
     def row(self) -> dict[str, Any]:
@@ -66,7 +66,6 @@
                 "pod_group": 0, "state": "SERVING", "capacity_hint": 1.0, "boot_ms": 0}
 
     async def close(self) -> None:
-        if self.process and self.process.returncode is None:
-            with suppress(ProcessLookupError):
-                self.process.kill()
+        if self.process:
+            send_signal(self.process, signal.SIGKILL)
             await self.process.wait()
--- a/tests/node_processes.py
+++ b/tests/node_processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -9,6 +10,7 @@
 
 import orjson
 
+from heathford.child_signals import send_signal
 from heathford.standin.platform import Agent, settings
 
 PLATFORM = ("-m", "heathford", "--log", "json", "platform")  # arguments of the interpreter
@@ -37,9 +39,8 @@
     try:
         yield process
     finally:
-        if process.returncode is None:
-            process.kill()
-            await process.wait()
+        send_signal(process, signal.SIGKILL)
+        await process.wait()
         agent.close()
 
 
--- a/tests/test_log_stream.py
+++ b/tests/test_log_stream.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import os
+import signal
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 from test_platform import ALL, Node, play, reader, writer
 
+from heathford.child_signals import send_signal
 from heathford.log_stream import LONGEST_LINE, LossyStream
 
 LINE = 100 * "x" + "\n"
@@ -72,7 +74,7 @@
                     assert await node.ask(f"c{n}") == (200, ALL, True)
         finally:
             # Read on: a process whose pipe is full and not read is never seen to end.
-            node.process.terminate()
+            send_signal(node.process, signal.SIGTERM)
             told = (await node.process.stderr.read()).count(b"passed over")
         assert 0 < told < 200 * 11  # each change tells of ten, and of how many more
     play(tmp_path, [a, b], day)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,6 +15,7 @@
 import orjson
 import pytest
 
+from heathford.child_signals import send_signal
 from heathford.discovery.client import DiscoveryClient
 from heathford.fleet.instances import Instances
 from heathford.interface import Health, Role
@@ -132,8 +133,8 @@
         for engine in self.engines:
             engine.close()
         self.agent.close()
-        if self.process and self.process.returncode is None:
-            self.process.kill()
+        if self.process:
+            send_signal(self.process, signal.SIGKILL)
             await self.process.wait()
 
 
@@ -348,7 +349,7 @@
         busy.say(asked("c1"))
         await b.until(2)
         assert node.process
-        node.process.send_signal(signal.SIGTERM)
+        send_signal(node.process, signal.SIGTERM)
         await node.until("ending")
         busy.say(asked("c3"))  # behind the one in hand
         late.say(b"GET /health/ready HTTP/1.1\r\n\r\n")
@@ -369,12 +370,12 @@
     async def day(node: Node) -> None:
         assert node.process
         node.path.write_text("{")
-        node.process.send_signal(signal.SIGHUP)
+        send_signal(node.process, signal.SIGHUP)
         await node.until("configuration not taken")
         assert await node.ask("c0") == (200, ALL, True)
         without = {key: value for key, value in node.config["settings"].items() if key != "nInstances"}
         node.path.write_bytes(orjson.dumps({**node.config, "discovery": "127.0.0.1:1", "settings": without}))
-        node.process.send_signal(signal.SIGHUP)
+        send_signal(node.process, signal.SIGHUP)
         told = await node.until("configuration not taken")
         assert "nInstances is missing" in told["why"]
         await other.open()
@@ -382,7 +383,7 @@
         moved.version = 7
         await moved.open()
         node.path.write_bytes(orjson.dumps({**node.config, "discovery": moved.address}))
-        node.process.send_signal(signal.SIGHUP)
+        send_signal(node.process, signal.SIGHUP)
         await moved.until_watched()
         assert await node.ask("c1") == (200, ALL, True)
         assert ("POST", "c1") in other.asked and ("POST", "c1") not in b.asked
--- a/tests/test_platform_clients.py
+++ b/tests/test_platform_clients.py
@@ -7,6 +7,7 @@
 import pytest
 from test_platform import ALL, Client, Node, asked, play, reader, writer
 
+from heathford.child_signals import send_signal
 from heathford.interface import HELD_UP
 from heathford.platform.client_server import FIRST, SWEEP, WRITES
 
@@ -129,7 +130,7 @@
         busy.say(asked("c1"))
         await b.until(2)
         assert node.process
-        node.process.send_signal(signal.SIGTERM)
+        send_signal(node.process, signal.SIGTERM)
         assert await idle.reader.read() == b""
         idle.say(asked("c2"))
         await asyncio.sleep(0.2)
@@ -172,7 +173,7 @@
         node.path.write_bytes(moved if config == "moved" else text[:len(text) // 2])
         assert node.process
         for each in signals:
-            node.process.send_signal(each)
+            send_signal(node.process, each)
             await asyncio.sleep(0.05)
         b.held.set()
         assert await waiting == (200, ALL, True)
@@ -192,7 +193,7 @@
         waiting = asyncio.create_task(node.ask("c0", workload="booking", budget=str(budget)))
         await b.until(1)
         assert node.process
-        node.process.send_signal(signal.SIGTERM)
+        send_signal(node.process, signal.SIGTERM)
         async with asyncio.timeout(max(budget / 1000, 0.7) + 0.7):
             status, _, whole = await waiting
             assert (status, whole) == (502, True)
--- a/tests/test_platform_signals.py
+++ b/tests/test_platform_signals.py
@@ -6,13 +6,14 @@
 import asyncio
 import signal
 from collections.abc import Sequence
-from contextlib import suppress
 from pathlib import Path
 
 import orjson
 import pytest
 from node_processes import PLATFORM, node_process, until_said
 
+from heathford.child_signals import send_signal
+
 STARTS = """
 import os, runpy, signal, sys
 from heathford.early_signals import EARLY
@@ -67,12 +68,11 @@
     async def day() -> None:
         async with node_process(tmp_path, *PLATFORM) as process:
             await until_said(process, b'"ready"')
-            process.terminate()
+            send_signal(process, signal.SIGTERM)
             assert process.stderr
             reading = asyncio.create_task(process.stderr.read())
             while process.returncode is None:
-                with suppress(ProcessLookupError):
-                    process.send_signal(signal.SIGHUP)
+                send_signal(process, signal.SIGHUP)
                 await asyncio.sleep(0.001)
             assert process.returncode == 0
             assert b"Traceback" not in await reading
--- a/tests/test_signals_unwoken.py
+++ b/tests/test_signals_unwoken.py
@@ -7,6 +7,8 @@
 
 from node_processes import node_process, until_said
 
+from heathford.child_signals import send_signal
+
 UNWOKEN = """
 import asyncio, os, signal
 from heathford.cli import logs
@@ -29,10 +31,10 @@
         async with node_process(tmp_path, "-c", UNWOKEN) as process, asyncio.timeout(10.0):
             await until_said(process, b'"ready"')
             await asyncio.sleep(0.5)
-            process.send_signal(signal.SIGHUP)
+            send_signal(process, signal.SIGHUP)
             await until_said(process, b'"configuration read"')
             began = monotonic()
-            process.terminate()
+            send_signal(process, signal.SIGTERM)
             assert await process.wait() == 0
             assert 0.6 <= monotonic() - began < 1.5
     asyncio.run(day())
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The soak: its plans, its oracle against one seeded breach of each rule, and a few seconds of one seed."""
 
 import asyncio
+import signal
 import socket
 import sys
 from collections.abc import Sequence
@@ -10,6 +11,7 @@
 
 import pytest
 
+from heathford.child_signals import send_signal
 from heathford.days import tap
 from heathford.days.recording import Recording
 from heathford.soak.front import FrontProcess
@@ -296,7 +298,7 @@
         async with asyncio.timeout(20.0):
             while len(started := children.read_text().split()) < 2:
                 await asyncio.sleep(0.05)
-            soak.terminate()
+            send_signal(soak, signal.SIGTERM)
             await soak.communicate()
             while any(Path(f"/proc/{front}").exists() for front in started):
                 await asyncio.sleep(0.05)
