No keyed repeat after an attempt that may have run: its engine may read it late

Callers saw: a keyed request could run a second time after its window.

Cause: between an engine's answer and the last byte of the repeat there is always a moment, and nothing that this machine does recalls what the far machine has taken. running_engine.py narrowed that moment; no message can close it. The same holds for each repeat, at whichever engine, also where the first engine has gone on or its process is gone.

Change: Link.late_reads says whether engines may read late what was sent. Both links of real sockets say so; the policy (Completion.repeatable) and the gate then treat a keyed request as one that may not run twice: attempts known not to have run are followed by others, all else is answered at once, refused where the group is all, else 502. The simulator and the stand-in link inside one process keep keyed repeats. As no repeat follows, the decode attempt gets all the time that is left, not half.

--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -61,7 +61,7 @@
         self.clock.now = loop.time()
         self.tally = Tally()
         self.history = History(loop.time)
-        self.gate = Gate(self.violated)
+        self.gate = Gate(self.violated, keyed_repeats=not link.late_reads)
         self.held_statistics = HeldStatistics()
         self.endpoints: dict[int, Endpoint] = {}
         self.live: dict[Taken, None] = {}
@@ -75,7 +75,7 @@
         self.router = Router(
             self.clock, self, seed, kinds, workloads, number, fronts, zone, try_limit, pin_limit, may_cancel,
             may_delay_retries, longest_retry, warm_after, cold_from, cold_multiple, cold_window,
-            read_in_place, subscribe)
+            read_in_place, subscribe, keyed_repeats=not link.late_reads)
         self.hold = self.router.hold  # s for which a state may wait for an attempt that arrives
 
     # What the Router asks for: heathford.interface.InstanceDoor.
--- a/heathford/core/dispatch.py
+++ b/heathford/core/dispatch.py
@@ -7,12 +7,9 @@
 from heathford.core.doors import Call, Cancellable, Endpoint
 from heathford.core.gate import Attempt, Event, Reason, Stage
 from heathford.core.held_state import HeldStage, HeldState, ReleaseReason, SignOfLife
-from heathford.interface import ANSWERED, NEVER_RAN, Effect, Role, Verdict
+from heathford.interface import ANSWERED, NEVER_RAN, Role, Verdict
 from heathford.policy.held_state import SILENT_AFTER
 
-ASKED_WITHIN = 0.5  # s that an engine may take to show that it has read an attempt, until it is asked again
-ASKED_AGAIN = 0.1  # s between two such questions at least
-
 if TYPE_CHECKING:
     from heathford.core.taken import Taken
 
@@ -53,12 +50,6 @@
         self.record("sent")
         return True
 
-    def needs_running_engine(self) -> bool:
-        """Guards against a repeat that lies unread at a stopped engine until its key is known no more."""
-        life = self.taken.life
-        return life.workload.effect is Effect.TOKENED and not self.reading and bool(
-            life.earlier_risks(self.attempt))
-
     def answer_begun(self) -> None:
         """The limit counts from the first byte that its prefill engine has answered."""
         if not self.over:
@@ -134,33 +125,6 @@
         if self.call and not self.over and not self.streaming:
             self.record("look for arrival", self.call.give_up_unless_arrived().name)
 
-    def follow_unread(self, verdict: Verdict) -> None:
-        """Guards against a repeat beside an attempt that its engine has not come to: a process reads what
-        came before a close, however late. Costs the repeats of keyed requests whose engine stays silent."""
-        unclear = not self.reading and verdict not in NEVER_RAN and verdict not in ANSWERED
-        if not unclear or self.taken.over or self.taken.life.workload.effect is not Effect.TOKENED:
-            return
-        self.attempt.may_be_read_later = True
-        self.taken.core.tell(self.taken, lambda handle: handle.may_be_read_later(self.seq, True))
-        self.ask_whether_read()
-
-    def ask_whether_read(self) -> None:
-        """Until it has, or its request is over."""
-        if self.call and not self.taken.over:
-            asked_at = self.taken.core.loop.time()
-            self.call.ask_whether_read(
-                self.taken.prefill.waits, ASKED_WITHIN, lambda read: self.reading_told(read, asked_at))
-
-    def reading_told(self, read: bool, asked_at: float) -> None:
-        core = self.taken.core
-        if read:
-            self.record("look for reading", SignOfLife.ANSWERS.value)
-            self.attempt.may_be_read_later = False
-            core.tell(self.taken, lambda handle: handle.may_be_read_later(self.seq, False))
-        elif not self.taken.over:
-            self.record("look for reading", SignOfLife.SILENT.value)
-            core.loop.call_at(max(core.loop.time(), asked_at + ASKED_AGAIN), self.ask_whether_read)
-
     def tokens(self, part: Any) -> None:
         if self.streaming and not self.over and not self.taken.over:
             self.taken.sink.tokens(part)
@@ -195,6 +159,5 @@
             taken.finish(answer.get("reason") or "stop", answer.get("usage") or {})
         elif self.streaming:
             taken.abort(f"the stream ended early: {verdict.value}")
-        self.follow_unread(verdict)
         closed = taken.over
         core.tell(taken, lambda handle: handle.ended(self.seq, verdict, latency, closed, detail, load))
--- a/heathford/core/doors.py
+++ b/heathford/core/doors.py
@@ -49,12 +49,6 @@
     def withdraw(self) -> None:
         """Ends it with UNSENT, unless something of it may have left or it has ended."""
 
-    def ask_whether_read(self, state_waits: bool, within: float, told: Callable[[bool], None]) -> None:
-        """Tells whether the engine of this call, which has ended, has read by now what it will ever read of
-        it: it has answered something that was sent later, on a connection that it cannot have come to before
-        the one of the call, or its process is gone. False where that is not learned within so many s.
-        state_waits: a release may not name the request now."""
-
     def give_up_unless_arrived(self) -> "Arrival":
         """Ends it with UNREACHABLE where its last byte has not been handed to this machine's kernel, with
         UNARRIVED where the kernel has had it and the far machine has not confirmed it; unless it has ended.
@@ -93,10 +87,6 @@
         """Asked right before the first byte leaves: whether the attempt is to begin. If not, the link ends it
         as UNSENT, unless that has happened meanwhile."""
 
-    def needs_running_engine(self) -> bool:
-        """Whether the attempt may begin only where its engine has just answered something on the connection:
-        an earlier attempt may have run, and this one must not lie unread until repeats are known no more."""
-
     def answer_begun(self) -> None:
         """Part of a reader's answer has come: it may hold the state from now on."""
 
@@ -111,6 +101,14 @@
 
 
 class Link(Protocol):
+    """Carries attempts to engines.
+
+    late_reads: whether an engine may read an attempt long after it was sent, or was given up here. Where it
+    may, a repeat could run after the time for which its key is known.
+    """
+
+    late_reads: bool
+
     def send(
         self, endpoint: Endpoint, name: str, body: Any, kv: Mapping[str, Any] | None, mark: str,
         timeout: float, events: CallEvents,
--- a/heathford/core/gate.py
+++ b/heathford/core/gate.py
@@ -84,7 +84,6 @@
     ANOTHER_OUT = "another attempt is out"
     MAY_HAVE_RUN = "an earlier attempt may have run"
     WINDOW_OVER = "the window for repeats is over"
-    EARLIER_UNREAD = "an earlier attempt may yet be read"
     OUTSIDE_GROUP = "the engine does not know the repeat"
     ENGINE_LEAVES = "the engine drains or is gone"
     ANSWER_OWED = "an answer is owed on the connection"
@@ -115,14 +114,12 @@
 
 @dataclass(slots=True)
 class Attempt:
-    """One attempt of a request. sent_at: s on the loop's clock. may_be_read_later: it has ended
-    unanswered, and nothing shows that its engine has come to it yet, closed or not."""
+    """One attempt of a request. sent_at: s on the loop's clock."""
 
     target: Target
     reading: bool
     sent_at: float
     verdict: Verdict | None = None
-    may_be_read_later: bool = False
 
     @property
     def may_have_run(self) -> bool:
@@ -144,10 +141,14 @@
 
 
 class Gate:
-    """Answers for all requests of one process. violated: told of each violation, with the request's name."""
+    """Answers for all requests of one process.
 
-    def __init__(self, violated: Callable[[Rule, str, str], None]) -> None:
-        self.violated = violated
+    violated: told of each violation, with the request's name. keyed_repeats: whether a keyed request may be
+    repeated after an attempt that may have run.
+    """
+
+    def __init__(self, violated: Callable[[Rule, str, str], None], keyed_repeats: bool = True) -> None:
+        self.violated, self.keyed_repeats = violated, keyed_repeats
         self.violations: Counter[Rule] = Counter()
         self.refused: Counter[Reason] = Counter()
 
@@ -193,14 +194,11 @@
         risks, workload = life.earlier_risks(attempt), life.workload
         if not risks or workload.effect is Effect.IDEMPOTENT:
             return Reason.ALLOWED
-        if workload.effect is Effect.NON_IDEMPOTENT:
+        if workload.effect is Effect.NON_IDEMPOTENT or not self.keyed_repeats:
             self.violation(Rule.NO_EFFECT_TWICE, life.name, "a further attempt after one that may have run")
             return self.refuse(Reason.MAY_HAVE_RUN)
         if now + HELD_UP - risks[0].sent_at >= workload.memory_time:
             return self.refuse(Reason.WINDOW_OVER)
-        if any(other.may_be_read_later for other in risks):
-            # Read after this attempt's window it would run a second time.
-            return self.refuse(Reason.EARLIER_UNREAD)
         for other in risks:
             # Cells lie in zones; where the list names no cells all engines look like one.
             same_zone = other.target.zone == target.zone
--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import ssl
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from math import inf
 from typing import Any
 
@@ -20,8 +20,6 @@
 from heathford.interface import Role, Verdict
 
 NO_ANSWER = 0  # in place of a status
-REFUSED = -2  # the same, where nobody listens: its process is gone
-RUNS_WITHIN = 0.1  # s that an engine which runs may take to show it: many round trips
 READ_BYTES = 65_536  # bytes read at once: a socket's buffer, so that one stream can't keep the others waiting
 
 log = structlog.get_logger()
@@ -32,6 +30,8 @@
     address that connections are made from, or empty; pin_limit: s within which a state is let go. tls: what
     new connections are made with, if anything; an engine's certificate must name it as the list does."""
 
+    late_reads = True  # a close is no recall: a process reads what its machine has taken before it
+
     def __init__(
         self, connect_timeout: float, connections: int, idle: float, stream_silence: float, longest_line: int,
         pin_limit: float, source: str = "", tls: ssl.SSLContext | None = None,
@@ -69,18 +69,18 @@
         log.warning("state not let go", engine=endpoint.name, dispatch=name)
         events.failed()
 
-    async def delete(self, endpoint: Endpoint, name: str, patience: float, fresh: bool = False) -> int:
-        """The status of the answer, NO_ANSWER or REFUSED. fresh: on a connection of its own, opened now."""
+    async def delete(self, endpoint: Endpoint, name: str, patience: float) -> int:
+        """The status of the answer, or NO_ANSWER."""
         pool = self.pool(endpoint)
         stream = None
         try:
             async with asyncio.timeout(patience):
-                stream = await self.connection(endpoint, pool, fresh)
+                stream = await self.connection(endpoint, pool)
                 response = await self.delete_on(stream, endpoint, name)
-        except (StreamClosedError, OSError, NonsenseError, TimeoutError) as problem:
+        except (StreamClosedError, OSError, NonsenseError, TimeoutError):
             if stream:
                 self.drop(pool, stream)
-            return REFUSED if was_refused(problem) else NO_ANSWER
+            return NO_ANSWER
         self.give_back(pool, stream, response.keep)
         return response.status
 
@@ -98,11 +98,9 @@
     def pool(self, endpoint: Endpoint) -> Connections[IOStream]:
         return self.pools.pool(endpoint.address, endpoint.port)
 
-    async def connection(
-        self, endpoint: Endpoint, pool: Connections[IOStream], fresh: bool = False
-    ) -> IOStream:
-        """A kept one unless fresh. Raises OSError or StreamClosedError where none can be had."""
-        stream = None if fresh else self.pools.idle_one(pool, asyncio.get_running_loop().time())
+    async def connection(self, endpoint: Endpoint, pool: Connections[IOStream]) -> IOStream:
+        """A kept one, or a new one. Raises OSError or StreamClosedError where none can be had."""
+        stream = self.pools.idle_one(pool, asyncio.get_running_loop().time())
         if stream:
             stream.set_close_callback(None)
             return stream
@@ -145,12 +143,6 @@
         self.pools.close_idle()
 
 
-def was_refused(problem: Exception) -> bool:
-    """Whether nobody listens at the address."""
-    reason = problem.real_error if isinstance(problem, StreamClosedError) else problem
-    return isinstance(reason, ConnectionRefusedError)
-
-
 class HttpCall:
     """One dispatch on its way: connect, send, answer. Ends once, with the first thing that ends it."""
 
@@ -170,26 +162,6 @@
         if self.stream is None:
             self.end(Verdict.UNSENT)
 
-    def ask_whether_read(self, state_waits: bool, within: float, told: Callable[[bool], None]) -> None:
-        """By a release of what this dispatch holds. Dispatches have names of their own here, so that takes
-        nothing from others."""
-        async def learn() -> None:
-            status = await self.link.delete(self.endpoint, self.name, within, fresh=True)
-            told(status != NO_ANSWER)
-        self.link.tasks.spawn(learn())
-
-    async def engine_runs(self, stream: IOStream) -> bool:
-        """Whether the engine answers on the connection that is to be used. It is dropped if not."""
-        try:
-            async with asyncio.timeout(RUNS_WITHIN):
-                response = await self.link.delete_on(stream, self.endpoint, self.name)
-        except (StreamClosedError, OSError, NonsenseError, TimeoutError):
-            self.link.drop(self.pool, stream)
-            return False
-        if not response.keep:
-            self.link.drop(self.pool, stream)
-        return response.keep
-
     def give_up_unless_arrived(self) -> Arrival:
         """Only what has no connection yet is known not to have arrived here."""
         if self.stream is None:
@@ -232,9 +204,6 @@
         except (StreamClosedError, OSError):
             self.end(Verdict.UNREACHABLE)
             return
-        if self.events.needs_running_engine() and not await self.engine_runs(stream):
-            self.end(Verdict.UNREACHABLE)
-            return
         if self.over or not self.events.wanted():
             self.link.give_back(self.pool, stream, True)
             self.end(Verdict.UNSENT)
--- a/heathford/interface.py
+++ b/heathford/interface.py
@@ -145,8 +145,4 @@
     def engine_silent(self, seq: int) -> None:
         """The engine of a dispatch that is out has said nothing since, nor to a release after that."""
 
-    def may_be_read_later(self, seq: int, may: bool) -> None:
-        """Whether the engine of an attempt that ends unanswered may yet read it: told before `ended` where it
-        may, and again once it may no longer. Not told by carriers whose engines read what is sent."""
-
     def left(self) -> None: ...
--- a/heathford/platform/engine_call.py
+++ b/heathford/platform/engine_call.py
@@ -7,8 +7,6 @@
 from heathford.interface import Role, Verdict
 from heathford.platform.answers import Answer
 from heathford.platform.exchange import EngineConnection, Exchange
-from heathford.platform.running_engine import RunningProof
-from heathford.platform.state_release import REFUSED, ReleaseCall
 from heathford.platform.unclear_prefill import UnclearPrefill
 from heathford.wire.http1 import NonsenseError, request
 from heathford.wire.socket_state import unconfirmed
@@ -38,8 +36,6 @@
         self.heard_at = 0.0  # when the last event came
         self.begun = False  # events of a stream have come
         self.answer_begun = False  # of a prefill engine
-        self.engine_runs = False  # shown on the connection that is used
-        self.was_accepted = False  # that connection had been answered on before
 
     def start(self) -> None:
         if self.over:
@@ -55,13 +51,10 @@
         self.expect(max(0.0, self.until - self.loop.time()), self.withdraw)
 
     def begin(self, connection: EngineConnection, data: Callable[[], bytes]) -> None:
-        if self.events.needs_running_engine() and not self.engine_runs:
-            self.prove_that_engine_runs(connection, data)
-        elif not self.events.wanted():
+        if not self.events.wanted():
             self.link.give_back(connection)
             self.end(Verdict.UNSENT)
         else:
-            self.was_accepted = connection.heard
             super().begin(connection, data)
             if connection.unwritten:
                 self.loop.call_later(SENT_WITHIN, self.give_up_slow_send, connection)
@@ -72,36 +65,6 @@
         if not self.over and connection.unwritten:
             self.end(Verdict.UNREACHABLE)
 
-    def prove_that_engine_runs(self, connection: EngineConnection, data: Callable[[], bytes]) -> None:
-        """First, on the connection that is to be used. What is left is an engine that stops between its
-        answer and the last byte of this attempt."""
-        if not self.link.finished_name:
-            self.link.give_back(connection)
-            self.end(Verdict.UNSENT)  # there is nothing to ask it by yet
-            return
-        if self.timer:
-            self.timer.cancel()
-
-        def proven(answered: EngineConnection) -> None:
-            if self.over:
-                self.link.give_back(answered)
-            else:
-                self.engine_runs = True
-                self.begin(answered, data)
-
-        proof = RunningProof(self.link, self.endpoint, self.link.finished_name, proven, self.unreached)
-        proof.start(connection)
-
-    def ask_whether_read(self, state_waits: bool, within: float, told: Callable[[bool], None]) -> None:
-        """By a release in the name of a request that is over, else of its own. On a new connection where the
-        one of the attempt may still wait to be accepted: connections are accepted in their order."""
-        name = self.link.finished_name or ("" if state_waits else self.name)
-        if not name:
-            self.loop.call_soon(told, False)
-            return
-        asked = ReleaseCall(self.link, self.endpoint, name, within, fresh=not self.was_accepted)
-        asked.status.add_done_callback(lambda status: told(status.result() > 0 or status.result() == REFUSED))
-
     def encoded(self) -> bytes:
         (target, body), self.body = self.body, ("", b"")  # written once: not kept while the answer streams
         left = max(1, int(1000 * (self.until - self.loop.time())))
@@ -138,8 +101,6 @@
         sent = self.connection is not None
         self.stop(keep)
         self.link.ends[verdict] += 1
-        if verdict is Verdict.FINISHED:
-            self.link.finished_name = self.name
         if (sent or verdict is Verdict.BROKEN) and verdict in UNCLEAR and self.endpoint.role is Role.READER:
             self.link.unclear[self.name] = UnclearPrefill(self.loop.time())
         self.events.ended(verdict, detail, {}, {"kv": {}})
--- a/heathford/platform/exchange.py
+++ b/heathford/platform/exchange.py
@@ -47,7 +47,6 @@
         self.transport: asyncio.Transport | None = None
         self.user: Exchange | None = None
         self.unwritten = False  # part of what was sent has not left yet
-        self.heard = False  # anything has come on it: its engine has accepted it
         self.counted = True
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -73,7 +72,6 @@
             self.unwritten = True
 
     def data_received(self, data: bytes) -> None:
-        self.heard = True
         self.pool.heard_at = self.link.loop.time()
         if self.user:
             self.user.heard(data)
@@ -134,14 +132,11 @@
         self.over = False
         self.refused = False  # nobody listens there
 
-    def connect(
-        self, data: Callable[[], bytes], within: float, urgent: bool = False, fresh: bool = False
-    ) -> None:
-        """An idle connection, or a new one within that many s. urgent: one of those kept back for that;
-        fresh: a new one in any case."""
+    def connect(self, data: Callable[[], bytes], within: float, urgent: bool = False) -> None:
+        """An idle connection, or a new one within that many s. urgent: one of those kept back for that."""
         pools = self.link.pools
         pool = pools.pool(self.endpoint.address, self.endpoint.port)
-        kept = None if fresh else pools.idle_one(pool, self.loop.time())
+        kept = pools.idle_one(pool, self.loop.time())
         while kept and not kept.quiet():
             kept.close()
             kept = pools.idle_one(pool, self.loop.time())
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -40,6 +40,8 @@
     """connect_timeout, pin_limit, idle (after which engines close) in s; connections: at most, in all.
     listed: engines that are on, those of the own zone and the others."""
 
+    late_reads = True  # a close is no recall: a process reads what its machine has taken before it
+
     def __init__(
         self, connect_timeout: float, pin_limit: float, idle: float, connections: int,
         listed: Callable[[], tuple[Sequence[Endpoint], Sequence[Endpoint]]],
@@ -55,7 +57,6 @@
         self.unclear: dict[str, UnclearPrefill] = {}  # by request
         self.again: dict[str, asyncio.TimerHandle] = {}  # requests whose release is to be said once more
         self.ends: Counter[Verdict] = Counter()
-        self.finished_name = ""  # of a request that is over and holds nothing: engines may be asked by it
         self.spoilt = self.unreleased = 0
         self.stopped = False
 
--- a/heathford/platform/state_release.py
+++ b/heathford/platform/state_release.py
@@ -42,15 +42,13 @@
     link: "PlatformLink"
 
     def __init__(
-        self, link: "PlatformLink", endpoint: Endpoint, name: str, patience: float, fresh: bool = False
+        self, link: "PlatformLink", endpoint: Endpoint, name: str, patience: float
     ) -> None:
-        """fresh: on a connection of its own, opened now."""
         super().__init__(link, endpoint, patience)
         self.response = Response(LONGEST_LINE, LONGEST_LINE, strict=False)
         self.status: asyncio.Future[int] = self.loop.create_future()
         link.silent_engines.was_asked((endpoint.address, endpoint.port), self.loop.time())
-        self.connect(
-            lambda: release_request(endpoint, name), patience, urgent=True, fresh=fresh)
+        self.connect(lambda: release_request(endpoint, name), patience, urgent=True)
 
     @property
     def engine(self) -> str:
--- a/heathford/policy/engine_state.py
+++ b/heathford/policy/engine_state.py
@@ -53,7 +53,6 @@
         self.contexts = engine.contexts(now)
         self.streaming: float = 0.0  # since when
         self.verdict: Verdict | None = None
-        self.may_be_read_later = False  # it has ended unanswered, and its engine may yet read it
 
 
 class Engine:
--- a/heathford/policy/request_state.py
+++ b/heathford/policy/request_state.py
@@ -27,6 +27,7 @@
     hold: float
     retry_after: float
     may_cancel: bool
+    keyed_repeats: bool
     answers: deque[tuple[float, Engine]]
     waiting: "list[Completion]"
     handed_over: HandedOver
@@ -132,8 +133,7 @@
     def engine_silent(self, seq: int) -> None:
         """Guards against waiting for an engine that is stopped or cut off: the state has been released, so an
         attempt that comes there later finds it gone. Another engine reads anew, where a repeat does no harm.
-        Could harm by a second read where the engine is only slow to answer. Not a keyed one: it could not be
-        repeated before that engine answers, and once it does it tells that the attempt has not run."""
+        Could harm by a second read where the engine is only slow to answer."""
         if seq >= len(self.dispatches):
             return
         dispatch = self.dispatches[seq]
@@ -144,16 +144,6 @@
         if free and self.router.may_cancel and not self.over and self.router.may_start_over(self):
             self.door.cancel(seq)
 
-    def may_be_read_later(self, seq: int, may: bool) -> None:
-        if seq < len(self.dispatches):
-            self.dispatches[seq].may_be_read_later = may
-
-    @property
-    def awaits_reading(self) -> bool:
-        """Guards against a keyed repeat beside an attempt that lies unread at a silent engine: read after the
-        window it would run a second time. Could harm by a wait for an engine that does not come back."""
-        return any(d.may_be_read_later for d in self.dispatches)
-
     def left(self) -> None:
         self.over = True
         if self.out is None:
@@ -166,6 +156,14 @@
             self.door.release()
             self.state, self.released = None, True
 
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may be sent again after an attempt that may have run. Guards against a keyed repeat that
+        an engine reads when its key is known no more: none is made where an engine may read late. Could harm
+        by a request lost with its engine that a repeat in time would have served."""
+        effect = self.workload.effect
+        return effect is Effect.IDEMPOTENT or (effect is Effect.TOKENED and self.router.keyed_repeats)
+
     def risky(self) -> list[Dispatch]:  # those that may have had an effect
         return [d for d in self.dispatches if not d.reading and d.verdict not in NEVER_RAN]
 
@@ -173,7 +171,7 @@
         risky = self.risky()
         if not risky or engine.kind.role is Role.READER or self.workload.effect is Effect.IDEMPOTENT:
             return True
-        if self.workload.effect is Effect.NON_IDEMPOTENT:
+        if not self.repeatable:
             return False
         group = self.workload.group
         return now + HELD_UP - risky[0].sent < self.workload.memory_time and all(
--- a/heathford/policy/router.py
+++ b/heathford/policy/router.py
@@ -7,7 +7,7 @@
 from statistics import median
 
 from heathford.interface import (
-    Clock, CompletionDoor, Effect, GivenUp, Health, InstanceDoor, Kind, Role, Workload)
+    Clock, CompletionDoor, GivenUp, Health, InstanceDoor, Kind, Role, Workload)
 from heathford.policy.engine_state import REPORT_LIFE, REST_MOST, Dispatch, Engine, remember
 from heathford.policy.estimators import STALE, Fit, reader_is_better
 from heathford.policy.held_state import HandedOver, release_due
@@ -38,6 +38,7 @@
         workloads: Sequence[Workload], number: int, fronts: int, zone: int, try_limit: int, pin_limit: float,
         may_cancel: bool, may_delay_retries: bool, longest_retry: float, warm_after: float, cold_from: float,
         cold_multiple: float, cold_window: float, read_in_place: bool, subscribe: bool,
+        keyed_repeats: bool = True,
     ) -> None:
         self.clock, self.door, self.random = clock, door, random.Random(seed)
         self.kinds, self.workloads = kinds, workloads
@@ -46,7 +47,7 @@
         self.try_limit, self.pin_limit, self.may_cancel = try_limit, pin_limit, may_cancel
         self.retry_after = min(RETRY_AFTER, longest_retry) if may_delay_retries else 0.0
         self.hold = min(HOLD * pin_limit, pin_limit - 2 * TICK)  # what waits is looked at once a tick
-        self.read_in_place = read_in_place
+        self.read_in_place, self.keyed_repeats = read_in_place, keyed_repeats
         cold_share = COLD_PART * cold_from * cold_multiple
         self.slow_start = SlowStart(clock, warm_after, max(cold_window, TICK), cold_share)
         self.answers = self.slow_start.answers
@@ -148,10 +149,6 @@
                 completion.give_up(GivenUp.TIME_OVER)
             elif not self.has_taker(completion, now):
                 completion.give_up(GivenUp.NO_ENGINE)
-            elif completion.awaits_reading:
-                if completion.state and now - completion.held_since >= self.hold:
-                    completion.let_go()  # a state may not be held on
-                self.waiting.append(completion)
             elif fresh and crowded and now >= completion.late_at:
                 completion.give_up(GivenUp.TURNED_AWAY)
             elif not self.placed(completion):
@@ -276,7 +273,7 @@
         if completion.state and not reading:
             completion.release_at = release_due(completion.held_since, self.pin_limit)
             self.handed_over.add(completion, now)
-        once = dispatch.local or (not reading and completion.workload.effect is Effect.NON_IDEMPOTENT)
+        once = dispatch.local or not (reading or completion.repeatable)
         share = 1.0 if once or self.jammed else TRY_SHARE  # in a jam a second try is more work, and later
         patience = share * (completion.due - now)
         if share < 1.0:
