A long prompt over a slow link is sent on: slow is no longer taken for cut

Callers saw: a prompt of 250 kB at engines that read 2 MB/s each got 503 after 1.0 s although 4 s were left, and so did each new try; at 1 MB/s 150 kB as well. No engine ever had it whole.

Cause: engine_call.py ended each send whose last byte was still in user space 0.1 s after its first (SENT_WITHIN), since the deadline told by the head would be out of date, and the look for arrival 0.12 s after the read ended decode attempts whose bytes were on their way. Both asked whether it was done, not whether it moved.

Change: - policy/transfer.py: what each engine's connection takes in a second, from long sends; the deadline told leaves out what a send is expected to take (1 MB/s where nothing is known), so that it is right when the last byte comes. A send is given up where nothing moves for 0.1 s (user space and SIOCOUTQ), or where it falls 0.1 s behind; its last byte is still here then. The latter ends as UNSENT and may go to the same engine again, with what was learned: a slow engine is not set aside as a failing one. - The look for arrival lets a send go on whose bytes move, up to the limit of what is held; then it ends as before. - The policy passes over engines that a prompt can't reach in time: a writer before its state is released, any before the time is over. After two slow engines of a role no unknown one is tried. What is left without any is answered at once; the 503 says why and carries no Retry-After. - A 503 of the platform's front node says why in its body. The sessions fronts' link cuts no send for being slow (shown by a test); the simulator tells no sizes and is not changed.

--- a/benchmarks/unguarded_front.py
+++ b/benchmarks/unguarded_front.py
@@ -28,7 +28,7 @@
 
 def never_gives_up() -> None:
     router.LAST_CALL = -1e9
-    Router.has_taker = lambda self, completion, now: True  # type: ignore[method-assign]
+    Router.has_taker = lambda self, completion, now, timely=True: True  # type: ignore[method-assign]
     taken.Taken.overdue = lambda self: None  # type: ignore[method-assign]
 
 
--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -75,7 +75,7 @@
         self.router = Router(
             self.clock, self, seed, kinds, workloads, number, fronts, zone, try_limit, pin_limit, may_cancel,
             may_delay_retries, longest_retry, warm_after, cold_from, cold_multiple, cold_window,
-            read_in_place, subscribe, keyed_repeats=not link.late_reads)
+            read_in_place, subscribe, keyed_repeats=not link.late_reads, transfers=link.transfers)
         self.hold = self.router.hold  # s for which a state may wait for an attempt that arrives
 
     # What the Router asks for: heathford.interface.InstanceDoor.
@@ -104,11 +104,12 @@
     def take(
         self, sink: Sink, workload: int, member: int, session: str, shared: str, prompt: int,
         shared_tokens: int, longest: int, timeout: float, body: Any, mark: str = "",
-        received: float | None = None, name: str = "", answer_hint: float = 0.0,
+        received: float | None = None, name: str = "", answer_hint: float = 0.0, size: int = 0,
     ) -> Taken:
         """Takes a completion: lengths in tokens, timeout in s from `received` (else now) after which the
         client gives up. The final answer comes before that, by the sink. name: by which its client and all
-        engines know it, where the protocol has one; answer_hint: s that the answer should take, 0 unknown."""
+        engines know it, where the protocol has one; answer_hint: s that the answer should take, 0 unknown;
+        size: bytes that are sent to an engine, where the link tells of slow sends."""
         self.count += 1
         self.tally.taken += 1
         since = self.loop.time() if received is None else received
@@ -122,7 +123,8 @@
                 taken.abandoned = True
                 return
             taken.handle = self.router.take(
-                taken, workload, member, session, shared, prompt, shared_tokens, longest, answer_hint, due)
+                taken, workload, member, session, shared, prompt, shared_tokens, longest, answer_hint, due,
+                size)
         self.happened(taken, begin)
         return taken
 
--- a/heathford/core/dispatch.py
+++ b/heathford/core/dispatch.py
@@ -8,7 +8,8 @@
 from heathford.core.gate import Attempt, Event, Reason, Stage
 from heathford.core.held_state import HeldStage, HeldState, ReleaseReason, SignOfLife
 from heathford.interface import ANSWERED, NEVER_RAN, Role, Verdict
-from heathford.policy.held_state import SILENT_AFTER
+from heathford.policy.held_state import EARLY, SILENT_AFTER, release_due
+from heathford.policy.transfer import LOOK_EVERY
 
 if TYPE_CHECKING:
     from heathford.core.taken import Taken
@@ -122,7 +123,13 @@
 
     def look_for_arrival(self) -> None:
         """Guards against a state that is held behind an attempt which reaches nobody: it stops no clock."""
-        if self.call and not self.over and not self.streaming:
+        if not self.call or self.over or self.streaming:
+            return
+        core = self.taken.core
+        now, due = core.loop.time(), release_due(self.taken.prefill.read_at, core.pin_limit)
+        if now < due - EARLY and self.call.moves():
+            self.arrival = core.loop.call_at(min(now + LOOK_EVERY, due), self.look_for_arrival)
+        else:
             self.record("look for arrival", self.call.give_up_unless_arrived().name)
 
     def tokens(self, part: Any) -> None:
--- a/heathford/core/doors.py
+++ b/heathford/core/doors.py
@@ -8,6 +8,7 @@
 from typing import Any, Protocol
 
 from heathford.interface import Role, Verdict
+from heathford.policy.transfer import TransferRates
 
 
 class Sink(Protocol):
@@ -49,6 +50,9 @@
     def withdraw(self) -> None:
         """Ends it with UNSENT, unless something of it may have left or it has ended."""
 
+    def moves(self) -> bool:
+        """Whether its bytes are on their way and have moved of late, as far as this machine knows."""
+
     def give_up_unless_arrived(self) -> "Arrival":
         """Ends it with UNREACHABLE where its last byte has not been handed to this machine's kernel, with
         UNARRIVED where the kernel has had it and the far machine has not confirmed it; unless it has ended.
@@ -104,10 +108,11 @@
     """Carries attempts to engines.
 
     late_reads: whether an engine may read an attempt long after it was sent, or was given up here. Where it
-    may, a repeat could run after the time for which its key is known.
+    may, a repeat could run after the time for which its key is known. transfers: what is known of long sends.
     """
 
     late_reads: bool
+    transfers: TransferRates
 
     def send(
         self, endpoint: Endpoint, name: str, body: Any, kv: Mapping[str, Any] | None, mark: str,
--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -18,6 +18,7 @@
 from heathford.wire.http1 import EventStream, NonsenseError, Response, request
 from heathford.engines.letting_go import LettingGo
 from heathford.interface import Role, Verdict
+from heathford.policy.transfer import TransferRates
 
 NO_ANSWER = 0  # in place of a status
 READ_BYTES = 65_536  # bytes read at once: a socket's buffer, so that one stream can't keep the others waiting
@@ -39,6 +40,7 @@
         self.connect_timeout, self.most = connect_timeout, connections
         self.stream_silence, self.longest_line, self.source = stream_silence, longest_line, source
         self.pin_limit, self.tls = pin_limit, tls
+        self.transfers = TransferRates()  # no deadline is told here: sends go on as long as they are wanted
         self.pools: Pools[IOStream] = Pools(idle, inf)
         self.tasks = Tasks("link")
         self.stopped = False
@@ -162,6 +164,10 @@
         if self.stream is None:
             self.end(Verdict.UNSENT)
 
+    def moves(self) -> bool:
+        """Not followed here."""
+        return False
+
     def give_up_unless_arrived(self) -> Arrival:
         """Only what has no connection yet is known not to have arrived here."""
         if self.stream is None:
--- a/heathford/interface.py
+++ b/heathford/interface.py
@@ -66,12 +66,16 @@
     TIME_OVER = "its time is nearly over"
     NO_ENGINE = "no listed engine may take it"
     TURNED_AWAY = "it can hardly be in time"
+    TOO_LONG_TO_SEND = "its prompt can't reach an engine in its time"
 
 
 # Outcomes which prove that the dispatch had no effect.
 NEVER_RAN = frozenset({
     Verdict.FULL, Verdict.UNREACHABLE, Verdict.UNSENT, Verdict.READ, Verdict.CROWDED})
 
+# The detail of an outcome among these: part of the dispatch had arrived, and the rest did not in its time.
+PART_ARRIVED = 1
+
 # Outcomes that an engine has told itself: the dispatch has reached it. After any other nothing is known: what
 # the far machine's kernel has confirmed may never come to the engine, and a connection that breaks or falls
 # silent tells neither that it came nor that it did not.
--- a/heathford/platform/asking.py
+++ b/heathford/platform/asking.py
@@ -86,4 +86,5 @@
     return core.take(
         sink, workload, 0, word(headers.get("x-route-hash", ""), "X-Route-Hash"),
         word(info["prefix"], "prefix"), prompt, shared, longest, budget / 1000,
-        (request.target, bytes(request.body)), mark=key, received=received, name=name, answer_hint=hint)
+        (request.target, bytes(request.body)), mark=key, received=received, name=name, answer_hint=hint,
+        size=len(request.body))
--- a/heathford/platform/client_connection.py
+++ b/heathford/platform/client_connection.py
@@ -288,10 +288,10 @@
         self.answer(b"0\r\n\r\n", keep)
 
     def rate_limited(self, retry_after: float) -> None:
-        keep = not self.ends_after
+        keep, why = not self.ends_after, self.taken.given_up if self.taken else ""
         self.forget()
         more = f"Retry-After: {retry_after:.3f}\r\n" if retry_after > 0.0 else ""
-        self.answer(whole(503, "busy: nothing was done", not keep, more), keep)
+        self.answer(whole(503, f"busy, nothing was done: {why}", not keep, more), keep)
 
     def aborted(self, why: str) -> None:
         keep = not self.ends_after
--- a/heathford/platform/engine_call.py
+++ b/heathford/platform/engine_call.py
@@ -4,18 +4,17 @@
 from typing import TYPE_CHECKING
 
 from heathford.core.doors import Arrival, CallEvents, Endpoint
-from heathford.interface import Role, Verdict
+from heathford.interface import PART_ARRIVED, Role, Verdict
 from heathford.platform.answers import Answer
 from heathford.platform.exchange import EngineConnection, Exchange
 from heathford.platform.unclear_prefill import UnclearPrefill
+from heathford.policy.transfer import LOOK_EVERY, Send, SendState
 from heathford.wire.http1 import NonsenseError, request
 from heathford.wire.socket_state import unconfirmed
 
 if TYPE_CHECKING:
     from heathford.platform.link import PlatformLink
 
-SENT_WITHIN = 0.1  # s from the first byte of an attempt until its last one leaves this process; the kernel's
-# part follows within the 0.15 s by which the deadline told may be more than what is left
 SILENCE = 4.0  # s without an event after which a stream is held for dead: clients may be kept waiting for 5
 PREFILL_ANSWER = 0.1  # s in which a prefill engine's answer comes whole once it has begun: some 100 bytes
 UNCLEAR = frozenset({Verdict.CANCELLED, Verdict.TIMED_OUT, Verdict.BROKEN})  # ends of a read that may go on
@@ -36,6 +35,7 @@
         self.heard_at = 0.0  # when the last event came
         self.begun = False  # events of a stream have come
         self.answer_begun = False  # of a prefill engine
+        self.sending: Send | None = None  # while its last byte has not left
 
     def start(self) -> None:
         if self.over:
@@ -56,19 +56,37 @@
             self.end(Verdict.UNSENT)
         else:
             super().begin(connection, data)
-            if connection.unwritten:
-                self.loop.call_later(SENT_WITHIN, self.give_up_slow_send, connection)
+            self.loop.call_later(LOOK_EVERY, self.look_at_send)
 
-    def give_up_slow_send(self, connection: EngineConnection) -> None:
+    def look_at_send(self) -> None:
         """Guards against a deadline, told by the head of a long request, that is out of date when the rest
-        has come. Its last byte is still here: it has not run. Could harm where all engines read as slowly."""
-        if not self.over and connection.unwritten:
-            self.end(Verdict.UNREACHABLE)
+        has come, and against a cut in its middle. While its last byte is still here it has not run."""
+        connection, sending = self.connection, self.sending
+        if self.over or not connection or not sending:
+            return
+        now, left = self.loop.time(), connection.not_confirmed()
+        state = sending.look(now, sending.size - left)
+        if not left:
+            self.sending = None
+            self.link.transfers.observe(sending, now)
+        elif state is SendState.BEHIND and connection.unwritten:
+            self.give_up_slow_send(sending)
+        elif state is not SendState.STALLED:
+            self.loop.call_later(LOOK_EVERY, self.look_at_send)
+        elif connection.unwritten:
+            self.end(Verdict.UNREACHABLE, PART_ARRIVED if sending.moved > 0 else 0)
+
+    def give_up_slow_send(self, sending: Send) -> None:
+        """Its engine may be asked again, with a deadline that leaves out the time which it takes."""
+        self.link.transfers.observe(sending, self.loop.time())
+        self.end(Verdict.UNSENT, PART_ARRIVED)
 
     def encoded(self) -> bytes:
         (target, body), self.body = self.body, ("", b"")  # written once: not kept while the answer streams
-        left = max(1, int(1000 * (self.until - self.loop.time())))
-        headers = {"X-Call-Id": self.name, "X-Budget-Ms": str(left)}
+        now = self.loop.time()
+        self.sending = self.link.transfers.begin(self.endpoint.number, len(body), self.until - now, now)
+        told = max(1, int(1000 * (self.until - now - self.sending.promised)))
+        headers = {"X-Call-Id": self.name, "X-Budget-Ms": str(told)}
         if self.mark:
             headers["Idempotency-Key"] = self.mark
         return request("POST", target, self.endpoint.address, headers, body)
@@ -81,12 +99,19 @@
         if self.connection is None or self.connection.unwritten:
             self.end(Verdict.UNSENT)
 
+    def moves(self) -> bool:
+        """A slow send is no cut: its attempt may yet arrive within the limit of what is held."""
+        return self.connection is not None and self.sending is not None and not self.sending.stalled
+
     def give_up_unless_arrived(self) -> Arrival:
         """Guards against what prefill holds for a request that never gets to its decode engine. Once the
         kernel has the last byte it may have run for all we know: the kernel sends on until the socket is
         closed, whatever it held when it was asked."""
         if self.over or self.begun:
             return Arrival.ANSWERED
+        if self.moves() and self.connection and self.connection.unwritten and self.sending:
+            self.give_up_slow_send(self.sending)
+            return Arrival.UNSENT
         if self.connection is None or self.connection.unwritten:
             self.end(Verdict.UNREACHABLE)
             return Arrival.UNSENT
--- a/heathford/platform/exchange.py
+++ b/heathford/platform/exchange.py
@@ -94,6 +94,11 @@
             self.counted = False
             self.link.pools.lost(self.pool, self)
 
+    def not_confirmed(self) -> int:
+        """Bytes written that the far machine has not confirmed: those in user space, and the kernel's."""
+        held = self.transport.get_write_buffer_size() if self.transport else 0
+        return held + unconfirmed(self.transport)
+
     def closed(self) -> bool:
         return self.transport is None or self.transport.is_closing()
 
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -16,6 +16,7 @@
 from heathford.platform.silent_engines import SilentEngines
 from heathford.platform.state_release import NO_ANSWER, REFUSED, ReleaseCall, StateRelease
 from heathford.platform.unclear_prefill import UnclearPrefill
+from heathford.policy.transfer import TransferRates
 from heathford.wire.http1 import NonsenseError
 
 IDLE_PART = 0.6  # of the time after which engines close idle connections: one written into then is lost
@@ -55,6 +56,7 @@
         self.tasks = Tasks("link")
         self.releases: dict[str, StateRelease] = {}  # by completion
         self.unclear: dict[str, UnclearPrefill] = {}  # by request
+        self.transfers = TransferRates()
         self.again: dict[str, asyncio.TimerHandle] = {}  # requests whose release is to be said once more
         self.ends: Counter[Verdict] = Counter()
         self.spoilt = self.unreleased = 0
--- a/heathford/policy/engine_state.py
+++ b/heathford/policy/engine_state.py
@@ -53,6 +53,7 @@
         self.contexts = engine.contexts(now)
         self.streaming: float = 0.0  # since when
         self.verdict: Verdict | None = None
+        self.was_slow = False  # part of it had arrived, and the rest did not in its time
 
 
 class Engine:
--- a/heathford/policy/request_state.py
+++ b/heathford/policy/request_state.py
@@ -6,10 +6,12 @@
 from typing import Protocol
 
 from heathford.interface import (
-    ANSWERED, HELD_UP, NEVER_RAN, Clock, CompletionDoor, Effect, GivenUp, Group, Role, Verdict, Workload)
+    ANSWERED, HELD_UP, NEVER_RAN, PART_ARRIVED, Clock, CompletionDoor, Effect, GivenUp, Group, Role, Verdict,
+    Workload)
 from heathford.policy.engine_state import FAILURES, LIMITED, PACE_FADE, REST, Dispatch, Engine
 from heathford.policy.estimators import Fit, mixed_features, read_features
 from heathford.policy.held_state import HandedOver
+from heathford.policy.transfer import TransferRates
 
 AT_ONCE = 0.05  # share of the latency target in which a full queue says so; a limit on some work takes longer
 READS = 2.0  # times its predicted reading that a completion needs before its target: to read and to write
@@ -28,6 +30,7 @@
     retry_after: float
     may_cancel: bool
     keyed_repeats: bool
+    transfers: TransferRates
     answers: deque[tuple[float, Engine]]
     waiting: "list[Completion]"
     handed_over: HandedOver
@@ -41,10 +44,11 @@
     def __init__(
         self, router: Policy, door: CompletionDoor, workload: Workload, session: str, shared: str,
         prompt: int, shared_tokens: int, answer: float, due: float, origin: object, now: float,
+        size: int = 0,
     ) -> None:
         self.router, self.door, self.workload = router, door, workload
         self.session, self.shared, self.prompt, self.shared_tokens = session, shared, prompt, shared_tokens
-        self.answer, self.due, self.key = answer, due, shared or session
+        self.answer, self.due, self.key, self.size = answer, due, shared or session, size
         self.target, self.origin = workload.latency_target + workload.target_per_1000 * prompt / 1000, origin
         self.target_at = now + self.target
         self.late_at = self.target_at - READS * router.read_fit.aged(read_features(prompt), now)
@@ -86,6 +90,7 @@
         engine.out = [d for d in engine.out if d is not dispatch]
         if load:
             engine.load, engine.load_at = load, now
+        dispatch.was_slow = detail == PART_ARRIVED and verdict in (Verdict.UNSENT, Verdict.UNREACHABLE)
         self.over = self.over or closed
         if self.out is dispatch:
             self.out = None
@@ -164,6 +169,10 @@
         effect = self.workload.effect
         return effect is Effect.IDEMPOTENT or (effect is Effect.TOKENED and self.router.keyed_repeats)
 
+    def slow_engines(self, role: Role) -> int:
+        """Engines of a role that its bytes did not reach in the time that a send may take."""
+        return len({d.engine.number for d in self.dispatches if d.was_slow and d.engine.kind.role is role})
+
     def risky(self) -> list[Dispatch]:  # those that may have had an effect
         return [d for d in self.dispatches if not d.reading and d.verdict not in NEVER_RAN]
 
@@ -185,6 +194,7 @@
         self.over, self.given_up = True, why
         known = self.workload.effect is Effect.TOKENED and self.workload.group is Group.ALL
         if known or self.workload.effect is Effect.IDEMPOTENT or not self.risky():
-            self.door.rate_limit(self.router.retry_after)
+            again = why is not GivenUp.TOO_LONG_TO_SEND  # a new try would be as slow
+            self.door.rate_limit(self.router.retry_after if again else 0.0)
         else:
             self.door.abort()
--- a/heathford/policy/router.py
+++ b/heathford/policy/router.py
@@ -14,6 +14,7 @@
 from heathford.policy.placement import Ring, Test
 from heathford.policy.request_state import Completion
 from heathford.policy.slow_start import COLD_PART, SlowStart
+from heathford.policy.transfer import LONG, TransferRates
 
 GATE = 2  # our reads out at one reader
 MEDIANS = 2.0  # times our median tokens that a session's last mixed server may hold
@@ -38,7 +39,7 @@
         workloads: Sequence[Workload], number: int, fronts: int, zone: int, try_limit: int, pin_limit: float,
         may_cancel: bool, may_delay_retries: bool, longest_retry: float, warm_after: float, cold_from: float,
         cold_multiple: float, cold_window: float, read_in_place: bool, subscribe: bool,
-        keyed_repeats: bool = True,
+        keyed_repeats: bool = True, transfers: TransferRates | None = None,
     ) -> None:
         self.clock, self.door, self.random = clock, door, random.Random(seed)
         self.kinds, self.workloads = kinds, workloads
@@ -48,6 +49,7 @@
         self.retry_after = min(RETRY_AFTER, longest_retry) if may_delay_retries else 0.0
         self.hold = min(HOLD * pin_limit, pin_limit - 2 * TICK)  # what waits is looked at once a tick
         self.read_in_place, self.keyed_repeats = read_in_place, keyed_repeats
+        self.transfers = transfers or TransferRates()
         cold_share = COLD_PART * cold_from * cold_multiple
         self.slow_start = SlowStart(clock, warm_after, max(cold_window, TICK), cold_share)
         self.answers = self.slow_start.answers
@@ -104,13 +106,13 @@
 
     def take(
         self, door: CompletionDoor, workload: int, member: int, session: str, shared: str, prompt: int,
-        shared_tokens: int, longest: int, answer_hint: float, due: float,
+        shared_tokens: int, longest: int, answer_hint: float, due: float, size: int = 0,
     ) -> Completion:
         now, kind = self.clock.now, self.workloads[workload]
         hinted = answer_hint and kind.token_target
         answer = min(longest, answer_hint / kind.token_target if hinted else longest / 2)
         completion = Completion(self, door, kind, session, shared, prompt, shared_tokens, answer, due,
-                                (workload, member), now)
+                                (workload, member), now, size)
         kept, self.counted_at = exp2((self.counted_at - now) / STALE), now
         self.asked, self.good = self.asked * kept + completion.counts, self.good * kept
         self.read, self.heard = self.read * kept, self.heard * kept
@@ -148,7 +150,9 @@
             if now >= completion.due - LAST_CALL:
                 completion.give_up(GivenUp.TIME_OVER)
             elif not self.has_taker(completion, now):
-                completion.give_up(GivenUp.NO_ENGINE)
+                slow = any(d.was_slow for d in completion.dispatches)
+                slow = slow or self.has_taker(completion, now, timely=False)
+                completion.give_up(GivenUp.TOO_LONG_TO_SEND if slow else GivenUp.NO_ENGINE)
             elif fresh and crowded and now >= completion.late_at:
                 completion.give_up(GivenUp.TURNED_AWAY)
             elif not self.placed(completion):
@@ -163,21 +167,42 @@
         now = self.clock.now
         return now < completion.due - LAST_CALL and self.has_taker(completion, now)
 
-    def has_taker(self, completion: Completion, now: float) -> bool:
+    def has_taker(self, completion: Completion, now: float, timely: bool = True) -> bool:
         """Guards against waits that only the clock ends, as of a tokened one past its time or with its group
-        gone. Could harm where one comes back a moment later; the client is told when to."""
+        gone. Could harm where one comes back a moment later; the client is told when to. timely: only engines
+        that its bytes can reach in time."""
         tries = self.try_limit - len(completion.dispatches)
         if not self.told:
             return tries > 0  # a front that has just started waits for its list
-        read = completion.state or (tries > 1 and self.pools[Role.READER])
-        return tries > 0 and any(
-            completion.may_go_to(e, now) for e in (self.writers if read else self.pools[Role.MIXED]))
+        if tries <= 0:
+            return False
+
+        def takes(engine: Engine, by: float) -> bool:
+            return completion.may_go_to(engine, now) and (
+                not timely or self.reachable(completion, engine, by))
+        readers = tries > 1 and any(
+            not timely or self.reachable(completion, e, completion.due) for e in self.pools[Role.READER])
+        if (completion.state or readers) and any(takes(e, self.state_due(completion)) for e in self.writers):
+            return True
+        return any(takes(e, completion.due) for e in self.pools[Role.MIXED])
+
+    def state_due(self, completion: Completion) -> float:
+        """When an attempt that takes a state has to be at its writer: a state that waits, or one read now."""
+        return release_due(completion.held_since if completion.state else self.clock.now, self.pin_limit)
+
+    def reachable(self, completion: Completion, engine: Engine, by: float) -> bool:
+        """Whether its bytes can be at an engine by then, as far as is known."""
+        if completion.size < LONG and not self.transfers.rates:
+            return True
+        return self.transfers.in_time(
+            engine.number, completion.size, self.clock.now, by, completion.slow_engines(engine.kind.role))
 
     def placed(self, completion: Completion) -> bool:
         now, tries = self.clock.now, self.try_limit - len(completion.dispatches)
         if completion.state:
             return self.write(completion, completion.state, now)
-        mixed, reader = self.pick_mixed(completion), self.pick_reader(completion) if tries > 1 else None
+        mixed = self.pick_mixed(completion)
+        reader = self.pick_reader(completion) if tries > 1 and self.state_can_be_taken(completion) else None
         local = mixed is not None and self.has_room(mixed, completion)
         if mixed and local and not (reader and self.reader_reads(completion, reader, mixed)):
             self.send(completion, mixed, False)
@@ -186,6 +211,11 @@
             self.send(completion, reader, True)
         return bool(reader)
 
+    def state_can_be_taken(self, completion: Completion) -> bool:
+        """Whether some writer can have the prompt before a state that is read now has to be released."""
+        taken_by = self.state_due(completion)
+        return any(self.reachable(completion, e, taken_by) for e in self.writers)
+
     def reader_reads(self, completion: Completion, reader: Engine, mixed: Engine) -> bool:
         at_reader, at_mixed = (completion.prompt - e.kept(completion) for e in (reader, mixed))
         now = self.clock.now
@@ -200,15 +230,18 @@
             return None
         now = self.clock.now
         return self.hashed_pair(completion, Role.READER, lambda e: len(e.out) < GATE and not e.closed(
-            completion.origin, now, self.tightest))
+            completion.origin, now, self.tightest) and self.reachable(completion, e, completion.due))
 
     def pick_mixed(self, completion: Completion) -> Engine | None:
         now, last = self.clock.now, self.last_mixed.get(completion.session)
         pool = self.pools[Role.MIXED]
-        if last and last in pool and self.usable(last, completion) and completion.may_go_to(last, now) and (
+
+        def is_open(engine: Engine) -> bool:
+            return completion.may_go_to(engine, now) and self.reachable(completion, engine, completion.due)
+        if last and last in pool and self.usable(last, completion) and is_open(last) and (
                 last.tokens <= MEDIANS * median(e.tokens for e in pool)):
             return last
-        return self.hashed_pair(completion, Role.MIXED, lambda e: completion.may_go_to(e, now))
+        return self.hashed_pair(completion, Role.MIXED, is_open)
 
     def hashed_pair(self, completion: Completion, role: Role, is_open: Test) -> Engine | None:
         """Two drawn by hashing the shared beginning, else the session, in the own zone; with both closed, two
@@ -234,7 +267,9 @@
             MEMORY_USED - load.get("memory", 0.0)) * engine.kind.memory  # none told: as much as is wanted
 
     def write(self, completion: Completion, reader: Engine, now: float) -> bool:  # two near the reader
-        able = [e for e in self.writers if self.usable(e, completion) and completion.may_go_to(e, now)]
+        taken_by = self.state_due(completion)
+        able = [e for e in self.writers if self.usable(e, completion) and completion.may_go_to(e, now)
+                and self.reachable(completion, e, taken_by)]
         near = [e for e in able if e.zone == reader.zone]
         # Guards against a cell's full writers, which each of many fronts finds slow only now and then.
         well = [e for e in near if now >= e.rests.get(None, (-inf, 0.0))[0] + REST_MOST]
@@ -281,5 +316,6 @@
             # and a client timeout is several. Where few reads are answered it is their queues: reads given up
             # in them leave nothing kept and are read anew elsewhere, so they are waited for as much longer.
             # Could harm where many engines fall silent at once.
-            patience = min(patience, WAITS * completion.target * self.unheard)
+            sending = self.transfers.expected(engine.number, completion.size, now) or 0.0
+            patience = min(patience, sending + WAITS * completion.target * self.unheard)
         completion.door.send(engine.number, patience)
--- a/heathford/standin/link.py
+++ b/heathford/standin/link.py
@@ -7,6 +7,7 @@
 
 from heathford.core.doors import Arrival, CallEvents, Endpoint, EnginesCountAsAlive, ReleaseEvents
 from heathford.interface import Role, Verdict
+from heathford.policy.transfer import TransferRates
 
 
 class AnsweringLink(EnginesCountAsAlive):
@@ -16,6 +17,7 @@
 
     def __init__(self, pace: float = 0.0) -> None:
         self.pace = pace
+        self.transfers = TransferRates()
         self.held = False
         self.breaks = 0  # a stream of so many tokens at the most breaks off at its first
         self.size, self.token = 1, "t"  # characters of a token
@@ -48,6 +50,10 @@
         self.done()
         self.events.ended(Verdict.CANCELLED, 0, {}, {})
 
+    def moves(self) -> bool:
+        """What was sent has arrived, here."""
+        return False
+
     def give_up_unless_arrived(self) -> Arrival:
         """What was sent has arrived, here."""
         return Arrival.CONFIRMED
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -13,6 +13,7 @@
 from heathford.core.taken import Taken
 from heathford.interface import Effect, Group, Health, Kind, Role, Verdict, Workload
 from heathford.policy import Completion, Router
+from heathford.policy.transfer import TransferRates
 
 pytest_plugins = ["pytester", "known_red"]
 
@@ -170,6 +171,10 @@
         self.cancelled = True
         self.events.ended(Verdict.CANCELLED, 0, {}, {})
 
+    def moves(self) -> bool:
+        """What was sent has arrived, here."""
+        return False
+
     def give_up_unless_arrived(self) -> Arrival:
         """What was sent has arrived, here."""
         return Arrival.CONFIRMED
@@ -203,6 +208,7 @@
     late_reads = False  # what was sent is read at once, here
 
     def __init__(self) -> None:
+        self.transfers = TransferRates()
         self.out: list[Out] = []
         self.released: list[str] = []
         self.confirms = True  # each release, at once
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -264,3 +264,35 @@
         posts = sum(head.startswith(b"POST") for engine in engines for head in engine.heads)
         assert posts > 1 if repeated else posts == 1
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("rate", [1_000_000, 2_000_000])
+def test_a_long_prompt_goes_on_over_a_slow_link(rate: int) -> None:
+    """Guards against slow taken for cut, here as at the platform's link."""
+    size, step, verdicts = 250_000, 0.01, list[Verdict]()
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        got = b""
+        while b"x\"" not in got[-400:]:
+            got += await reader.read(int(rate * step))
+            await asyncio.sleep(step)
+        writer.write(whole(200, READ))
+        await writer.drain()
+
+    async def run() -> None:
+        sock = socket.create_server(("127.0.0.1", 0))
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        server = await asyncio.start_server(serve, sock=sock, limit=16_384)
+        the_link, seen = link(), Seen()
+        endpoint = Endpoint(1, "e", Role.READER, "127.0.0.1", sock.getsockname()[1])
+        call = the_link.send(endpoint, "c.0", {"prompt": size * "x"}, None, "", 4.0, seen)
+        while not seen.over.is_set():
+            if the_link.pool(endpoint).open:
+                call.give_up_unless_arrived()
+            await asyncio.sleep(step)
+        the_link.stop()
+        server.close()
+        assert seen.verdict is not None
+        verdicts.append(seen.verdict)
+    asyncio.run(run())
+    assert verdicts == [Verdict.READ]
--- a/tests/test_repeat_beside_silence.py
+++ b/tests/test_repeat_beside_silence.py
@@ -1,4 +1,4 @@
-"""No keyed request runs again after its window, whenever the engines of its attempts read nothing for a while."""
+"""No keyed request runs again after its window, whenever engines read nothing for a while."""
 
 import asyncio
 from pathlib import Path
--- /dev/null
+++ b/tests/test_transfer.py
@@ -0,0 +1,111 @@
+"""Long sends: how they are followed, what they teach, and what the policy makes of it."""
+
+import pytest
+from conftest import Bench
+
+from heathford.interface import PART_ARRIVED, GivenUp, Verdict
+from heathford.policy.transfer import (
+    KNOWN_FOR, LATE_BY, LONG, LOOK_EVERY, PRESUMED_RATE, STALLED_AFTER, Send, SendState, TransferRates)
+
+SIZE = 250_000  # bytes
+READER, WRITER, COMBINED = (10, 0), (12, 1), (14, 2)
+
+
+def sent(engine: int, rate: float, size: int = SIZE) -> Send:
+    """A send that has arrived, at that many bytes a second."""
+    return Send(engine, size, 0.0, 0.0, moved=size, spent=size / rate)
+
+
+def known(rate: float, now: float = 0.0, engine: int = 1) -> TransferRates:
+    rates = TransferRates()
+    rates.observe(sent(engine, rate), now)
+    return rates
+
+
+@pytest.mark.parametrize("rate, state", [
+    (0.0, SendState.STALLED), (PRESUMED_RATE / 4, SendState.BEHIND), (PRESUMED_RATE, SendState.MOVES)])
+def test_a_send_that_moves_is_given_up_only_where_its_deadline_would_be_wrong(
+    rate: float, state: SendState
+) -> None:
+    send = TransferRates().begin(1, SIZE, 4.0, 0.0)
+    states = [send.look(step * LOOK_EVERY, int(step * LOOK_EVERY * rate)) for step in range(1, 30)]
+    ended = next((step for step, found in enumerate(states, 1) if found is not SendState.MOVES), 0)
+    if state is SendState.MOVES:
+        assert ended * LOOK_EVERY > SIZE / rate
+    else:
+        after = STALLED_AFTER if state is SendState.STALLED else send.promised + LATE_BY
+        assert states[ended - 1] is state
+        assert ended * LOOK_EVERY == pytest.approx(after, abs=LOOK_EVERY)
+
+
+def test_a_hold_up_of_this_process_is_no_stall_and_teaches_no_rate() -> None:
+    """Guards against engines passed over for what this process did itself."""
+    send = TransferRates().begin(1, SIZE, 4.0, 0.0)
+    assert send.look(0.15, 0) is SendState.MOVES
+    send.look(0.17, SIZE)
+    rates = TransferRates()
+    rates.observe(send, 0.17)
+    expected = rates.expected(1, SIZE, 0.2)
+    assert expected == pytest.approx(3 * LOOK_EVERY)
+
+
+@pytest.mark.parametrize("size, left, promised", [
+    (20_000, 4.0, 0.0), (SIZE, 4.0, 1.25 * SIZE / PRESUMED_RATE), (SIZE, 0.2, 0.1)])
+def test_a_deadline_leaves_out_what_a_long_send_is_expected_to_take(
+    size: int, left: float, promised: float
+) -> None:
+    assert TransferRates().begin(1, size, left, 0.0).promised == pytest.approx(promised)
+
+
+def test_rates_fall_at_once_rise_by_halves_and_are_forgotten() -> None:
+    rates = known(2e6)
+    rates.observe(sent(1, 1e6), 1.0)
+    assert rates.expected(1, SIZE, 1.0) == pytest.approx(0.25)
+    rates.observe(sent(1, 3e6), 2.0)
+    assert rates.expected(1, SIZE, 2.0) == pytest.approx(0.125)
+    rates.observe(sent(1, 1e3, LONG - 1), 3.0)
+    assert rates.expected(1, SIZE, 3.0) == pytest.approx(0.125)
+    assert rates.expected(1, SIZE, 2.0 + KNOWN_FOR) is None and not rates.rates
+
+
+@pytest.mark.parametrize("slow_engines, by, in_time", [(0, 0.0, True), (1, 0.0, True), (2, 9.0, False)])
+def test_an_unknown_engine_is_tried_until_two_were_slow(slow_engines: int, by: float, in_time: bool) -> None:
+    assert TransferRates().in_time(1, SIZE, 0.0, by, slow_engines) == in_time
+
+
+def test_a_long_prompt_is_not_read_for_a_writer_that_it_can_not_reach_in_time() -> None:
+    """Guards against a state that is released before its prompt has come."""
+    rates = known(2e5, 100.0, WRITER[0])
+    b = Bench(transfers=rates)
+    b.engines(READER, WRITER)
+    c = b.take(size=SIZE)
+    assert b.asked() == [("rate_limit",)] and c.given_up is GivenUp.TOO_LONG_TO_SEND
+    assert b.retry_after == 0.0
+    b.take(size=LONG // 2)
+    assert b.asked() == [("send", READER[0])]
+    b.take(session="t", size=SIZE)
+    b.asked()
+    rates.observe(sent(COMBINED[0], 2e5), b.now)
+    b.engines(COMBINED)
+    b.take(session="u", size=SIZE)
+    assert b.asked() == [("send", COMBINED[0])]
+
+
+def test_two_slow_engines_of_a_role_end_it_and_one_does_not() -> None:
+    b = Bench()
+    b.engines(READER, (11, 0), (15, 0), WRITER)
+    c = b.take(size=SIZE)
+    b.end(c, Verdict.UNREACHABLE, detail=PART_ARRIVED)
+    assert [asked[0] for asked in b.asked()] == ["send", "send"]
+    b.end(c, Verdict.UNREACHABLE, detail=PART_ARRIVED)
+    assert b.asked() == [("rate_limit",)] and c.given_up is GivenUp.TOO_LONG_TO_SEND
+
+
+def test_an_engine_that_was_slow_is_asked_again_with_what_was_learned() -> None:
+    """Guards against a healthy engine that is set aside for being slow."""
+    b = Bench(transfers=(rates := TransferRates()))
+    b.engines(READER, WRITER)
+    c = b.take(size=SIZE)
+    rates.observe(sent(READER[0], 8e5), b.now)
+    b.end(c, Verdict.UNSENT, detail=PART_ARRIVED)
+    assert b.asked() == [("send", READER[0])] * 2
