Releases of states: one word for them, and one set of status constants for both links

LettingGo is ReleaseRetries, GONE is RELEASED, let_go is release_state or release_from; NO_ANSWER stands once. Stale remarks in test_repeat_beside_silence.py (engines asked in a request's name) are gone.

--- a/heathford/core/taken.py
+++ b/heathford/core/taken.py
@@ -86,7 +86,7 @@
         """Also once more for what an attempt may have kept at the first release."""
         holder = self.prefill.to_release()
         if holder:
-            self.let_go(holder, reason)
+            self.release_from(holder, reason)
             if self.out:
                 self.out.look_for_life()
 
@@ -110,7 +110,7 @@
         if self.close("finished"):
             self.core.guarded(self.sink, lambda: self.sink.finished(reason, usage))
 
-    def let_go(self, dispatch: Dispatch, reason: ReleaseReason) -> None:
+    def release_from(self, dispatch: Dispatch, reason: ReleaseReason) -> None:
         """Now, before the next dispatch: one that can't connect, or whose bytes reach nobody, stops no clock,
         and several in a row outlast the pin limit. Where all have one name the link holds what is sent next
         until the release is through, so that it takes no later state. Costs that dispatch a round trip."""
@@ -123,7 +123,7 @@
         """Guards against a read that ends unseen: its state may wait at the reader though we were never told
         of it, and only its name lets it go. Harms nothing where there is none."""
         self.prefill.unclear = dispatch
-        self.let_go(dispatch, ReleaseReason.PREFILL_UNCLEAR)
+        self.release_from(dispatch, ReleaseReason.PREFILL_UNCLEAR)
 
     def release_late_prefill(self) -> None:
         """Guards against what such a read leaves after that release, while the request went on elsewhere:
@@ -133,7 +133,7 @@
             return
         dispatch = self.prefill.unclear_before(self.dispatches[-1])
         if dispatch and self.one_name:
-            self.let_go(dispatch, ReleaseReason.PREFILL_LATE)
+            self.release_from(dispatch, ReleaseReason.PREFILL_LATE)
 
     def close(self, how: str, why: str = "") -> bool:
         """True for the first call only: a completion gets one final answer."""
@@ -171,7 +171,7 @@
             self.stop(self.out)
 
     def abandon(self, why: str) -> None:
-        """The Router is asked no more about it; all that is out or held for it is let go."""
+        """The Router is asked no more about it; all that is out or held for it is released."""
         self.abandoned = True
         self.abort(why)
         if self.out:
--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -15,12 +15,11 @@
 from heathford.core.tasks import Tasks
 from heathford.engines.answers import cached, chunk, load_of, read_answer, verdict_of
 from heathford.engines.pools import Connections, Pools
+from heathford.engines.release_retries import NO_ANSWER, ReleaseRetries
 from heathford.wire.http1 import EventStream, NonsenseError, Response, request
-from heathford.engines.letting_go import LettingGo
 from heathford.interface import Role, Verdict
 from heathford.policy.transfer import TransferRates
 
-NO_ANSWER = 0  # in place of a status
 READ_BYTES = 65_536  # bytes read at once: a socket's buffer, so that one stream can't keep the others waiting
 
 log = structlog.get_logger()
@@ -28,7 +27,7 @@
 
 class EngineLink(EnginesCountAsAlive):
     """connect_timeout, idle and stream_silence in s; connections at most for each engine; source: the local
-    address that connections are made from, or empty; pin_limit: s within which a state is let go. tls: what
+    address that connections are made from, or empty; pin_limit: s within which a state is released. tls: what
     new connections are made with, if anything; an engine's certificate must name it as the list does."""
 
     late_reads = True  # a close is no recall: a process reads what its machine has taken before it
@@ -54,11 +53,11 @@
         return call
 
     def release(self, endpoint: Endpoint, name: str, events: ReleaseEvents) -> None:
-        self.tasks.spawn(self.let_go(endpoint, name, events))
+        self.tasks.spawn(self.release_state(endpoint, name, events))
 
-    async def let_go(self, endpoint: Endpoint, name: str, events: ReleaseEvents) -> None:
+    async def release_state(self, endpoint: Endpoint, name: str, events: ReleaseEvents) -> None:
         loop = asyncio.get_running_loop()
-        tries = LettingGo(loop.time(), self.pin_limit)
+        tries = ReleaseRetries(loop.time(), self.pin_limit)
         while (wait := tries.next_try(loop.time())) is not None:
             if wait:
                 await asyncio.sleep(wait)
--- a/heathford/engines/letting_go.py
+++ b/heathford/engines/release_retries.py
@@ -1,12 +1,15 @@
-"""How often and how patiently a holder is asked to let a state go that it does not confirm; no I/O."""
+"""How often and how patiently a prefill engine is asked to release a state; no I/O."""
 
 TRIES = 4  # within the limit: one lost connection, one slow answer, and one more
-GONE = frozenset({200, 202, 204, 404, 410})  # statuses after which nothing is held: 404 is a state long gone
+NO_ANSWER = 0  # in place of a status
+RELEASED = frozenset({200, 202, 204, 404, 410})  # after which nothing is held: 404 is a state long gone
 
 
-class LettingGo:
-    """Tries spread over the limit within which a state may be pinned, so that one lost message or one reset
-    does not keep it there. Could harm by calls to an engine that is down, four at most for each state."""
+class ReleaseRetries:
+    """Tries spread over the limit within which a state may be held, so that one lost message or one reset
+    does not keep it there. Could harm by calls to an engine that is down, four at most for each state.
+
+    now: s on the loop's clock; limit: s."""
 
     def __init__(self, now: float, limit: float) -> None:
         self.begun, self.limit, self.tries = now, limit, 0
@@ -24,4 +27,5 @@
         return max(self.begun + self.tries * self.limit / TRIES - now, self.limit / TRIES / 2)
 
     def is_over(self, status: int) -> bool:
-        return status in GONE
+        """Whether that answer confirms the release."""
+        return status in RELEASED
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -10,11 +10,12 @@
 from heathford.core.doors import CallEvents, Endpoint, ReleaseEvents
 from heathford.core.tasks import Tasks
 from heathford.engines.pools import Pools
+from heathford.engines.release_retries import NO_ANSWER
 from heathford.interface import Verdict
 from heathford.platform.engine_call import EngineCall
 from heathford.platform.exchange import EngineConnection
 from heathford.platform.silent_engines import SilentEngines
-from heathford.platform.state_release import NO_ANSWER, REFUSED, ReleaseCall, StateRelease
+from heathford.platform.state_release import REFUSED, ReleaseCall, StateRelease
 from heathford.platform.unclear_prefill import UnclearPrefill
 from heathford.policy.transfer import TransferRates
 from heathford.wire.http1 import NonsenseError
--- a/heathford/platform/state_release.py
+++ b/heathford/platform/state_release.py
@@ -7,8 +7,8 @@
 import structlog
 
 from heathford.core.doors import Endpoint, ReleaseEvents
-from heathford.engines.letting_go import GONE
 from heathford.engines.pools import Address
+from heathford.engines.release_retries import NO_ANSWER, RELEASED
 from heathford.platform.answers import LONGEST_LINE
 from heathford.platform.exchange import Exchange
 from heathford.platform.release_schedule import HOLDER_AT_ONCE, LEAST_ASKED, ReleaseSchedule, next_to_ask
@@ -18,8 +18,7 @@
     from heathford.platform.link import PlatformLink
 
 ROOMS = "/bootstrap/rooms/"
-NO_ANSWER = 0  # in place of a status
-NO_CONNECTION = -1  # the same, where all of this process's own connections are in use
+NO_CONNECTION = -1  # in place of a status, where all of this process's own connections are in use
 REFUSED = -2  # the same, where nobody listens: its process is gone, by the protocol page
 
 log = structlog.get_logger()
@@ -175,7 +174,7 @@
             call = self.calls.pop(status)
             if call.endpoint is self.holder and (status.result() > 0 or status.result() == REFUSED):
                 self.holder_answered = True
-            if status.result() in GONE:
+            if status.result() in RELEASED:
                 self.tell(lambda events, call=call: events.confirmed(call.engine))  # type: ignore[misc]
                 return True
             self.tell(lambda events, call=call, status=status: events.unanswered(  # type: ignore[misc]
--- a/heathford/policy/__init__.py
+++ b/heathford/policy/__init__.py
@@ -10,7 +10,7 @@
 2. parts: of what leads to a cold engine, all fronts let in the same part, less of hot texts
 3. rests: an engine that is slow, silent or turns work away rests, longer each time in a row
 4. room: reported memory, slots and queue tell who can take one more; the rest waits
-5. further dispatches: what may be sent again, rate-limited or only aborted, and letting go of what is held
+5. further dispatches: what may be sent again, rate-limited or only aborted, and the release of what is held
 6. admission: little more is let in than is answered in time; what can hardly be any more makes way
 """
 
--- a/heathford/policy/held_state.py
+++ b/heathford/policy/held_state.py
@@ -27,7 +27,7 @@
 
     release_at: float
 
-    def let_go(self) -> None: ...
+    def release_state(self) -> None: ...
 
 
 class HandedOver:
@@ -63,6 +63,6 @@
         for holder in list(self.holders):
             if now >= holder.release_at - EARLY:
                 self.remove(holder)
-                holder.let_go()
+                holder.release_state()
         if self.holders:
             self.expect(min(holder.release_at for holder in self.holders), now)
--- a/heathford/policy/request_state.py
+++ b/heathford/policy/request_state.py
@@ -106,7 +106,7 @@
             # Guards against a state pinned while one writer after the other can't be reached or says nothing:
             # as far as is known nothing came to an engine since the read. Costs a second read where the next
             # would have answered.
-            self.let_go()
+            self.release_state()
         read = verdict is Verdict.READ or (verdict is Verdict.FINISHED and dispatch.local)
         if read and not detail and dispatch.new < self.prompt:
             engine.keeps.clear()  # it lost what it kept, all at once as a rule
@@ -120,7 +120,7 @@
             engine.streamed, engine.streamed_at = engine.streamed * PACE_FADE + now - dispatch.streaming, now
             engine.hinted = engine.hinted * PACE_FADE + self.answer * self.workload.token_target
         elif verdict is Verdict.FULL and detail:
-            self.let_go()  # gone, or out of the writer's reach and still pinned: read again
+            self.release_state()  # gone, or out of the writer's reach and still pinned: read again
         elif verdict in (Verdict.FULL, Verdict.CROWDED):
             limited = latency > AT_ONCE * self.target  # what is short of room says so at once, and to all
             engine.rest(self.origin if limited else None, dispatch.sent, now, LIMITED if limited else REST)
@@ -131,7 +131,7 @@
             if verdict is Verdict.TIMED_OUT:  # as slow as that at least: its queue needs as long
                 engine.rest(None, dispatch.sent, now, latency)
         if self.over:
-            self.let_go()
+            self.release_state()
         else:
             self.router.waiting.append(self)
 
@@ -152,11 +152,12 @@
     def left(self) -> None:
         self.over = True
         if self.out is None:
-            self.let_go()
+            self.release_state()
         elif self.router.may_cancel and not self.out.streaming:
             self.door.cancel(self.out.seq)
 
-    def let_go(self) -> None:  # nothing stays pinned: neither an answer nor a client's leaving frees a state
+    def release_state(self) -> None:
+        """Nothing stays held: neither an answer nor a client's leaving frees a state."""
         if self.state:
             self.door.release()
             self.state, self.released = None, True
@@ -190,7 +191,7 @@
     def give_up(self, why: GivenUp) -> None:
         if not self.dispatches and self.late_at > -inf:  # a guess of ours says nothing of what engines can do
             self.router.asked = max(0.0, self.router.asked - self.counts)
-        self.let_go()
+        self.release_state()
         self.over, self.given_up = True, why
         known = self.workload.effect is Effect.TOKENED and self.workload.group is Group.ALL
         if known or self.workload.effect is Effect.IDEMPOTENT or not self.risky():
--- a/heathford/policy/router.py
+++ b/heathford/policy/router.py
@@ -283,7 +283,7 @@
             pair = self.random.sample(fit, 2) if len(fit) > 2 else fit
             self.send(completion, min(pair, key=lambda e: e.tokens / max(e.size, 1e-3)), False)
         elif waited:  # it is read anew once a writer can be had
-            completion.let_go()
+            completion.release_state()
         return bool(fit)
 
     def usable(self, engine: Engine, completion: Completion) -> bool:
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -11,8 +11,8 @@
 
 from heathford.core.core import Core
 from heathford.core.doors import Endpoint
-from heathford.engines.letting_go import TRIES, LettingGo
 from heathford.engines.link import EngineLink
+from heathford.engines.release_retries import TRIES, ReleaseRetries
 from heathford.interface import Effect, Group, Health, Kind, Role, Verdict, Workload
 
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -224,7 +224,7 @@
 @pytest.mark.parametrize("answers, tries", [([204], 1), ([404], 1), ([0, 0, 204], 3), ([500] * 9, TRIES)])
 def test_a_state_is_let_go_within_its_limit(answers: list[int], tries: int) -> None:
     now, said = 10.0, 0
-    letting = LettingGo(now, 0.3)
+    letting = ReleaseRetries(now, 0.3)
     while (wait := letting.next_try(now)) is not None:
         now += wait + letting.patience(now + wait) * 0.9
         said += 1
--- a/tests/test_release_schedule.py
+++ b/tests/test_release_schedule.py
@@ -64,7 +64,7 @@
     def __init__(self, release_at: float) -> None:
         self.release_at, self.released = release_at, False
 
-    def let_go(self) -> None:
+    def release_state(self) -> None:
         self.released = True
 
 
--- a/tests/test_repeat_beside_silence.py
+++ b/tests/test_repeat_beside_silence.py
@@ -64,7 +64,7 @@
     async def day(play: Day) -> None:
         reader = play.engines[0]
         client = play.client()
-        await play.answer_anywhere(client, "c0")  # engines may be asked for an answer in its name
+        await play.answer_anywhere(client, "c0")
         async with Running(reader):
             client.say(request("c1", request_class="order"))
             first, stopped, held = await attempt_at(play, "c1")
@@ -86,7 +86,7 @@
     async def day(play: Day) -> None:
         reader, *writers = play.engines
         client = play.client()
-        await play.answer_anywhere(client, "c0")  # engines may be asked for an answer in its name
+        await play.answer_anywhere(client, "c0")
         async with Running(reader):
             client.say(request("c1", request_class="order"))
             await until(lambda: any(has_unread(writer) for writer in writers), "the attempt")
