A connection rests 0.05 s after an answer: one that comes once more is not the next one's

Callers could see another caller's stream: an engine that answers once more 0.03 s after its answer, on a kept connection into which the next request had been written, had that taken for the next request's answer.

Cause: platform/link.py, SETTLED, 0.01 s. An answer names no request, so once the next request is written nothing tells the two apart; what comes before ends the connection.

Change: 0.05 s. The tests' wait for settled connections follows the constant.

--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -23,8 +23,8 @@
 IDLE_PART = 0.6  # of the time after which engines close idle connections: one written into then is lost
 RELEASE_PART = 0.05  # of all connections, kept back for releases: without one a state stays held
 FEW_CONNECTIONS = 8  # up to which none is kept back
-SETTLED = 0.01  # s after an answer before a connection is used again: some engines close it then, and a
-# request that crosses the close may have run; ten times the way between zones
+SETTLED = 0.05  # s after an answer before a connection is used again: some engines close it then, or answer
+# once more some milliseconds late, which would be taken for what the next request gets
 FAILED_AGAIN = 0.5  # s after a release that nobody confirmed until it is said again; then twice as long
 FAILED_AGAIN_MOST = 4.0  # s of these: in all they outlast a cut of several seconds
 
--- a/tests/raw_peers.py
+++ b/tests/raw_peers.py
@@ -16,6 +16,7 @@
 import orjson
 
 from heathford.event_loop import new_event_loop
+from heathford.platform.link import SETTLED
 from heathford.platform.process import Node
 from heathford.platform.start import told
 from heathford.standin.platform import EVENTS, GOOD, READ, Agent, settings
@@ -259,7 +260,7 @@
 
     async def settled(self) -> None:
         """Until connections to engines that were in use may be used again."""
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(SETTLED + 0.01)
 
 
 @asynccontextmanager
--- a/tests/test_races_links.py
+++ b/tests/test_races_links.py
@@ -19,6 +19,7 @@
 from heathford.platform.start import told
 from heathford.standin.platform import GOOD, READ, WORDS, Agent, settings
 
+LATE_AGAIN = 0.03  # s after an answer at which it comes once more
 CONNECT_TIMEOUT = 0.25  # s, as the stand-in's settings have it
 
 
@@ -105,6 +106,27 @@
     run_day(tmp_path, day)
 
 
+def test_an_answer_that_comes_once_more_after_the_next_request_is_not_taken_for_its_own(
+    tmp_path: Path
+) -> None:
+    """Guards against one client's stream passed on to another. 0.03 s late, on a connection used again."""
+    async def day(play: Day) -> None:
+        a, b = play.engines
+        client = play.client()
+        await play.answer(client, "c0")
+        await asyncio.sleep(LATE_AGAIN)
+        client.say(request("c1"))
+        (await a.asked(2)).sock.sendall(READ)
+        held = await b.asked(2)
+        b.held[0].sock.sendall(GOOD.replace(b"ab", b"no"))  # of the first request
+        await asyncio.sleep(0.05)
+        if held is not b.held[0]:
+            held.sock.sendall(GOOD)
+            await until(lambda: client.whole == 2, "the stream's end")
+        assert b'"no"' not in client.look()
+    run_day(tmp_path, day)
+
+
 @pytest.mark.parametrize("step", ["error", "full"])
 def test_an_answer_and_the_end_of_its_connection_in_one_turn(tmp_path: Path, step: str) -> None:
     async def day(play: Day) -> None:
