Shorter prompts over slower links: a send that falls behind teaches its rate, whatever its size

Now each send that is given up as too slow is learned from; short ones that arrive still are not, as buffers take them at once. What is known is forgotten with engines that left (512 remembered), and prompts under 64 kB ask it only while some engine counts as slow.

--- a/heathford/policy/router.py
+++ b/heathford/policy/router.py
@@ -14,7 +14,7 @@
 from heathford.policy.placement import Ring, Test
 from heathford.policy.request_state import Completion
 from heathford.policy.slow_start import COLD_PART, SlowStart
-from heathford.policy.transfer import LONG, TransferRates
+from heathford.policy.transfer import TransferRates
 
 GATE = 2  # our reads out at one reader
 MEDIANS = 2.0  # times our median tokens that a session's last mixed server may hold
@@ -192,10 +192,9 @@
 
     def reachable(self, completion: Completion, engine: Engine, by: float) -> bool:
         """Whether its bytes can be at an engine by then, as far as is known."""
-        if completion.size < LONG and not self.transfers.rates:
-            return True
-        return self.transfers.in_time(
-            engine.number, completion.size, self.clock.now, by, completion.slow_engines(engine.kind.role))
+        now, size = self.clock.now, completion.size
+        return not self.transfers.matters(size, now) or self.transfers.in_time(
+            engine.number, size, now, by, completion.slow_engines(engine.kind.role))
 
     def placed(self, completion: Completion) -> bool:
         now, tries = self.clock.now, self.try_limit - len(completion.dispatches)
--- a/heathford/policy/transfer.py
+++ b/heathford/policy/transfer.py
@@ -18,6 +18,7 @@
 LOOK_EVERY = 0.02  # s between two looks at a send
 KNOWN_FOR = 10.0  # s for which a connection counts as it was last seen
 RISE = 0.5  # share of a faster send that is believed; a slower one is believed at once
+TIDIED_AT = 512  # engines remembered from which those are forgotten whose time is over
 SLOW_ENGINES = 2  # that a request met, from which unknown engines are not tried any more
 
 
@@ -70,16 +71,25 @@
 
     def __init__(self) -> None:
         self.rates: dict[int, tuple[float, float]] = {}  # bytes a second, and when that was seen
+        self.slow_until = -inf  # s on the loop's clock; some engine counts as slower than presumed till then
 
     def observe(self, send: Send, now: float) -> None:
         """Learn from one that has arrived, or is given up as too slow."""
-        if send.size < LONG:
+        if send.size < LONG and send.moved >= send.size:
             return
         rate = max(1, send.moved) / max(send.spent, LOOK_EVERY)
         before, at = self.rates.get(send.engine, (0.0, -inf))
         if before < rate and now - at < KNOWN_FOR:
             rate = before + RISE * (rate - before)
         self.rates[send.engine] = rate, now
+        if rate < PRESUMED_RATE:
+            self.slow_until = now + KNOWN_FOR
+        if len(self.rates) >= TIDIED_AT:
+            self.rates = {e: seen for e, seen in self.rates.items() if now - seen[1] < KNOWN_FOR}
+
+    def matters(self, size: int, now: float) -> bool:
+        """Whether a request of that size may be too long for some engine."""
+        return size >= LONG or now < self.slow_until
 
     def expected(self, engine: int, size: int, now: float) -> float | None:
         """s that a send of that size takes there; None where nothing is known."""
--- a/tests/test_slow_link.py
+++ b/tests/test_slow_link.py
@@ -144,12 +144,15 @@
     run_day(tmp_path, day, prefill(), decode(), prefill("r2"), decode("w2"))
 
 
-@pytest.mark.parametrize("rate", [0.3, 1, 2, 4])
-def test_a_long_prompt_is_served_by_a_combined_engine_behind_a_slow_link(tmp_path: Path, rate: float) -> None:
+@pytest.mark.parametrize("rate, size", [
+    (0.3, 250_000), (1, 250_000), (2, 250_000), (4, 250_000), (0.2, 60_000), (0.2, 30_000)])
+def test_a_long_prompt_is_served_by_a_combined_engine_behind_a_slow_link(
+    tmp_path: Path, rate: float, size: int
+) -> None:
     """Guards against the same where no state sets a limit: also over links that are slower still."""
     async def day(play: Day) -> None:
         async with paced(play, *2 * [steady(rate * MEGABYTE)]) as engines:
-            client, gives_up_at = await ask(play, "c0", 250_000)
+            client, gives_up_at = await ask(play, "c0", size)
             assert await client.until(1) == [200] and monotonic() < gives_up_at
             check_deadlines(engines, gives_up_at)
     run_day(tmp_path, day, decode("c"), decode("c2"), setting=combined)
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -5,7 +5,8 @@
 
 from heathford.interface import PART_ARRIVED, GivenUp, Verdict
 from heathford.policy.transfer import (
-    KNOWN_FOR, LATE_BY, LONG, LOOK_EVERY, PRESUMED_RATE, STALLED_AFTER, Send, SendState, TransferRates)
+    KNOWN_FOR, LATE_BY, LONG, LOOK_EVERY, PRESUMED_RATE, STALLED_AFTER, TIDIED_AT, Send, SendState,
+    TransferRates)
 
 SIZE = 250_000  # bytes
 READER, WRITER, COMBINED = (10, 0), (12, 1), (14, 2)
@@ -63,11 +64,29 @@
     assert rates.expected(1, SIZE, 1.0) == pytest.approx(0.25)
     rates.observe(sent(1, 3e6), 2.0)
     assert rates.expected(1, SIZE, 2.0) == pytest.approx(0.125)
-    rates.observe(sent(1, 1e3, LONG - 1), 3.0)
+    rates.observe(sent(1, 1e3, LONG - 1), 3.0)  # buffers take a short one at once, or this process was late
     assert rates.expected(1, SIZE, 3.0) == pytest.approx(0.125)
     assert rates.expected(1, SIZE, 2.0 + KNOWN_FOR) is None and not rates.rates
 
 
+def test_a_short_send_that_falls_behind_teaches_its_rate() -> None:
+    """Guards against one that is given up at each try, as nothing is learned from it."""
+    send = TransferRates().begin(1, LONG // 2, 4.0, 0.0)
+    rates = TransferRates()
+    states = [send.look(step * LOOK_EVERY, int(1e5 * step * LOOK_EVERY)) for step in range(1, 6)]
+    assert states[-1] is SendState.BEHIND
+    rates.observe(send, 0.1)
+    assert rates.begin(1, LONG // 2, 4.0, 0.1).promised == pytest.approx(1.25 * LONG / 2 / 1e5)
+    assert rates.matters(100, 0.1) and not rates.matters(100, 0.1 + KNOWN_FOR)
+
+
+def test_engines_that_left_are_forgotten() -> None:
+    rates = TransferRates()
+    for engine in range(3 * TIDIED_AT):
+        rates.observe(sent(engine, 2e6), float(engine))
+    assert len(rates.rates) <= TIDIED_AT
+
+
 @pytest.mark.parametrize("slow_engines, by, in_time", [(0, 0.0, True), (1, 0.0, True), (2, 9.0, False)])
 def test_an_unknown_engine_is_tried_until_two_were_slow(slow_engines: int, by: float, in_time: bool) -> None:
     assert TransferRates().in_time(1, SIZE, 0.0, by, slow_engines) == in_time
