A keyed request at a silent engine is refused at once where its client may come again

Callers waited: since no keyed repeat follows an attempt that may have run, a decode attempt at a hung engine kept its request to the end of its time, also where the group is all and a refusal does no harm.

Change: where the client may be refused (Completion.refusable) the attempt is given half the time again, and is given up once its state is released and its engine leaves a release unanswered; the client is told to come again. Where a refusal is not allowed it still gets all the time left.

Tests: patience by group, the silent engine by group (new; the two cases that end or wait otherwise fail on the program before).

--- a/heathford/policy/request_state.py
+++ b/heathford/policy/request_state.py
@@ -138,15 +138,21 @@
     def engine_silent(self, seq: int) -> None:
         """Guards against waiting for an engine that is stopped or cut off: the state has been released, so an
         attempt that comes there later finds it gone. Another engine reads anew, where a repeat does no harm.
-        Could harm by a second read where the engine is only slow to answer."""
+        Could harm by a second read where the engine is only slow to answer. A keyed one that is not repeated
+        ends there too where its client may be refused: it comes again sooner."""
         if seq >= len(self.dispatches):
             return
         dispatch = self.dispatches[seq]
         if dispatch.verdict or dispatch.streaming:
             return
         dispatch.engine.went_badly(FAILURES[Verdict.UNARRIVED], dispatch.sent, self.router.clock.now)
-        free = self.workload.effect is Effect.IDEMPOTENT
-        if free and self.router.may_cancel and not self.over and self.router.may_start_over(self):
+        if not self.router.may_cancel or self.over:
+            return
+        if self.workload.effect is Effect.IDEMPOTENT:
+            given_up = self.router.may_start_over(self)
+        else:
+            given_up = self.refusable and not self.repeatable
+        if given_up:
             self.door.cancel(seq)
 
     def left(self) -> None:
@@ -170,6 +176,12 @@
         effect = self.workload.effect
         return effect is Effect.IDEMPOTENT or (effect is Effect.TOKENED and self.router.keyed_repeats)
 
+    @property
+    def refusable(self) -> bool:
+        """Whether its client may be told to try again though an attempt may have run."""
+        known = self.workload.effect is Effect.TOKENED and self.workload.group is Group.ALL
+        return known or self.workload.effect is Effect.IDEMPOTENT
+
     def slow_engines(self, role: Role) -> int:
         """Engines of a role that its bytes did not reach in the time that a send may take."""
         return len({d.engine.number for d in self.dispatches if d.was_slow and d.engine.kind.role is role})
@@ -193,8 +205,7 @@
             self.router.asked = max(0.0, self.router.asked - self.counts)
         self.release_state()
         self.over, self.given_up = True, why
-        known = self.workload.effect is Effect.TOKENED and self.workload.group is Group.ALL
-        if known or self.workload.effect is Effect.IDEMPOTENT or not self.risky():
+        if self.refusable or not self.risky():
             again = why is not GivenUp.TOO_LONG_TO_SEND  # a new try would be as slow
             self.door.rate_limit(self.router.retry_after if again else 0.0)
         else:
--- a/heathford/policy/router.py
+++ b/heathford/policy/router.py
@@ -307,7 +307,7 @@
         if completion.state and not reading:
             completion.release_at = release_due(completion.held_since, self.pin_limit)
             self.handed_over.add(completion, now)
-        once = dispatch.local or not (reading or completion.repeatable)
+        once = dispatch.local or not (reading or completion.repeatable or completion.refusable)
         share = 1.0 if once or self.jammed else TRY_SHARE  # in a jam a second try is more work, and later
         patience = share * (completion.due - now)
         if share < 1.0:
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -662,18 +662,38 @@
     assert c.settled == (verdict not in NEVER_RAN)
 
 
-@pytest.mark.parametrize("keyed_repeats, patience", [(True, 2.0), (False, 19.9)])
-def test_a_tokened_one_is_waited_for_as_long_as_it_can_be_where_it_is_not_repeated(
-    bench: New, keyed_repeats: bool, patience: float
+@pytest.mark.parametrize("keyed_repeats, group, patience", [
+    (True, Group.ZONE, 2.0), (False, Group.ALL, 2.0), (False, Group.ZONE, 19.9), (False, Group.CELL, 19.9)])
+def test_a_tokened_one_is_waited_for_as_long_as_it_can_be_where_nothing_may_follow(
+    bench: New, keyed_repeats: bool, group: Group, patience: float
 ) -> None:
-    """Half its time would be left over for a repeat that is not made."""
-    b = bench(effect=TOKENED, keyed_repeats=keyed_repeats)
+    """Half its time would be left over for a repeat that is not made; one that is refused comes again."""
+    b = bench(effect=TOKENED, group=group, keyed_repeats=keyed_repeats)
     b.engines(*FLEET)
     c = b.take(due=b.now + 20.0)
     b.end(c, Verdict.READ)
     assert b.patience == pytest.approx(patience)
 
 
+@pytest.mark.parametrize("keyed_repeats, group, ends", [
+    (False, Group.ALL, True), (False, Group.ZONE, False), (True, Group.ALL, False)])
+def test_a_tokened_one_ends_at_a_silent_engine_only_where_its_client_may_come_again(
+    bench: New, keyed_repeats: bool, group: Group, ends: bool
+) -> None:
+    b = bench(effect=TOKENED, group=group, keyed_repeats=keyed_repeats)
+    b.engines((10, 0), (12, 1), (22, 1))
+    c = b.take(due=b.now + 20.0)
+    b.end(c, Verdict.READ)
+    b.wait(0.4)
+    b.asked()
+    c.engine_silent(1)
+    assert b.asked() == [("cancel", 1)] * ends
+    b.end(c, Verdict.CANCELLED)
+    if not keyed_repeats:
+        answers = [asked[0] for asked in b.asked() if asked[0] != "release"]
+        assert answers == ["rate_limit" if group is Group.ALL else "abort"]
+
+
 @pytest.mark.parametrize("beside, then", [([], "rate_limit"), ([(14, 2)], "send")])
 def test_one_try_left_with_nobody_to_read_and_write_is_answered_at_once(
     bench: New, beside: list[tuple[int, int]], then: str
