A soak that is told to end amid the start of a front node leaves none behind

Seen: test_a_soak_that_is_told_to_end_leaves_no_front_node_behind timed out in 2 of 4 runs of the suite, both beside load, in communicate(): a front node went on and kept the soak's output open.

Cause: cli/main.py gave SIGTERM Python's default handler of interrupts, which raises KeyboardInterrupt wherever the main thread stands. Between fork and the return of Popen nobody knows of the child, so nobody ends it. The test looks for children in /proc and so signals in that span where the machine is busy. Evidence: with the signal sent right after the fork the soak's output stayed open until the time-out, each run.

Change: SIGTERM is passed on as SIGINT, which asyncio's runner handles in its loop: the start is finished, then cancelled, and asyncio ends the child. The new test forces the moment; it failed before and passes. The old one is unchanged.

--- a/heathford/cli/main.py
+++ b/heathford/cli/main.py
@@ -259,8 +259,9 @@
     from heathford.soak.report import play, tell_outcome
     from heathford.soak.report import soak as soak_seeds
     report.mkdir(parents=True, exist_ok=True)
-    # As at an interrupt: the front nodes end with the run. They would go on, each on its port.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    # As at an interrupt: the front nodes end with the run. By the event loop's own handler of SIGINT, which
+    # waits for a front node that is just being started; raised there, nobody would know of that one.
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     if replay:
         outcome = play(read(replay.read_text()), fronts, report)
         tell_outcome(outcome, click.echo)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -305,6 +305,29 @@
     asyncio.run(day())
 
 
+ENDED_AMID_A_START = """
+import os, signal, subprocess, sys
+start = subprocess.Popen._execute_child
+def told(self, *arguments):
+    start(self, *arguments)
+    os.kill(os.getpid(), signal.SIGTERM)
+subprocess.Popen._execute_child = told
+from heathford.cli.main import cli
+cli(["soak", "faults", "--seeds", "1", "--fronts", "2", "--report", sys.argv[1]])
+"""
+
+
+def test_a_soak_that_is_told_to_end_amid_a_start_leaves_no_front_node_behind(tmp_path: Path) -> None:
+    """Guards against a front node that nobody knows of: it went on, and kept the soak's output open."""
+    async def day() -> None:
+        soak = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", ENDED_AMID_A_START, str(tmp_path), cwd=Path(__file__).parent.parent,
+            stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+        async with asyncio.timeout(20.0):
+            await soak.communicate()  # until nobody has its output open
+    asyncio.run(day())
+
+
 def test_the_port_of_a_day_s_relay_is_kept_while_nobody_listens(tmp_path: Path) -> None:
     """Seen in CI: an engine that came back after a restart met "address already in use"."""
     async def day() -> None:
