--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 import time
 from pathlib import Path
 
-from standins.platform import (
+from standins import (
     ENDED,
     LOOPBACK,
     MB,
@@ -113,4 +113,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).parent, play))
+    sys.exit(run_case(Path(__file__).with_name("record.txt"), play))
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -7,7 +7,7 @@
 from contextlib import suppress
 from pathlib import Path
 
-from standins.platform import (
+from standins import (
     ENDED,
     LOOPBACK,
     Deployment,
@@ -72,7 +72,7 @@
                 record.add(f"{BAD_CLIENTS} bad clients send header fields without end for {BAD_SECONDS} s")
                 helper = start_helper(
                     output,
-                    str(Path(__file__).parents[1] / "standins" / "endless.py"),
+                    str(Path(__file__).with_name("endless.py")),
                     str(front.port),
                     str(BAD_CLIENTS),
                     str(BAD_SECONDS),
@@ -95,4 +95,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(run_case(Path(__file__).parent, play))
+    sys.exit(run_case(Path(__file__).with_name("record.txt"), play))
--- a/review/standins/platform.py
+++ b/review/standins.py
@@ -18,7 +18,7 @@
 from pathlib import Path
 from typing import Any
 
-ROOT = Path(__file__).resolve().parents[2]
+ROOT = Path(__file__).resolve().parents[1]
 MS = 1_000_000  # ns
 SECOND = 1_000 * MS  # ns
 READY_TIMEOUT = 10.0  # s
@@ -426,13 +426,15 @@
             front.stop()
 
 
-def run_case(folder: Path, play: Callable[[Path, Record, bool], Awaitable[bool]]) -> int:
+def run_case(record_path: Path, play: Callable[[Path, Record, bool], Awaitable[bool]]) -> int:
     """Play a case, with the disruption unless TROUBLE is 0, and return its exit status.
 
-    play: gets a temporary folder, the record and whether to disrupt; returns whether the rule held.
+    record_path: the file that tells what was sent, answered and run. play: gets a temporary folder, the
+    record and whether to disrupt; returns whether the rule held. SIGTERM ends the case, and what it started.
     """
-    record = Record(folder / "record.txt")
+    record = Record(record_path)
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     try:
         with tempfile.TemporaryDirectory() as temporary:
             held = asyncio.run(asyncio.wait_for(play(Path(temporary), record, trouble), TIME_LIMIT))
--- a/review/standins/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins of the cases: platform, engines, clients."""
