Front node: one memory budget for all that waits, no copies of the bytes behind a request

Callers saw: 12 clients that send 250 completions at once (13 MB in all) took a front node from 28 MB over its 192 MB, and all open completions ended with it.

Cause: RequestReader.feed made the next Request from a copy of all bytes that followed in the same read, and the queue kept each finished parser with its copy: n/2 copies of up to 256 KiB. The queue kept all header fields as well, and only the bodies of queued requests counted against a constant.

Fix: requests of a connection are parsed out of one buffer; a finished one keeps its body and the fields that are used. A budget taken from memory_mb covers queued and open requests, parts of requests and unread answers. What exceeds it is counted and refused in its turn; the first request of a connection keeps its place.

--- a/heathford/platform/client_connection.py
+++ b/heathford/platform/client_connection.py
@@ -15,15 +15,20 @@
 from heathford.core.core import Core
 from heathford.core.gate import Reason
 from heathford.platform.eviction import Idleness
-from heathford.platform.request_acceptance import accept_request
+from heathford.platform.request_acceptance import READ_HEADERS, accept_request
 from heathford.platform.responses import CLOSE_HEADER, STREAM_HEAD, full_response
-from heathford.wire.request_reader import ReadAheadBudget, ReadFailure, ReceivedRequest, RequestReader
-from heathford.wire.requests import Request, RequestError
+from heathford.wire.memory_budget import MemoryBudget, MemoryCharge
+from heathford.wire.request_reader import DiscardedRequest, ReadFailure, ReceivedRequest, RequestReader
+from heathford.wire.requests import ParsedRequest, RequestError
 from heathford.wire.socket_state import read_socket_state
 
 MAX_HEAD_BYTES = 16_384  # clients' heads have a few hundred
 MAX_BODY_BYTES = 262_144  # the protocol's limit
 MAX_UNSENT_BYTES = 1_048_576  # in the write buffer; a client that reads so slowly is dropped
+GUARANTEED_UNSENT_BYTES = 16_384  # that a client may leave in the write buffer while the memory is used up
+# Memory that an open request takes beside its body: the core's objects, its attempt and the buffers of both
+# connections.
+OPEN_REQUEST_BYTES = 32_768
 
 log = structlog.get_logger()
 
@@ -31,7 +36,8 @@
 class ConnectionServer(Protocol):
     """What a connection needs of the server that accepted it.
 
-    open_requests: unanswered requests by their X-Call-Id. refused: rejected requests by status.
+    open_requests: unanswered requests by their X-Call-Id. memory: shared by requests and answers of all
+    connections. refused: rejected requests by status.
     refuse_from: when new requests start to be refused, in seconds on the event loop's clock.
     """
 
@@ -40,7 +46,7 @@
     loop: asyncio.AbstractEventLoop
     connections: "dict[ClientConnection, None]"
     open_requests: dict[str, AcceptedRequest]
-    read_ahead: ReadAheadBudget
+    memory: MemoryBudget
     refused: Counter[int]
     stopping: bool
     refuse_from: float
@@ -61,7 +67,10 @@
     def __init__(self, server: ConnectionServer) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
-        self.reader = RequestReader(MAX_HEAD_BYTES, MAX_BODY_BYTES, server.read_ahead)
+        self.reader = RequestReader(MAX_HEAD_BYTES, MAX_BODY_BYTES, READ_HEADERS, server.memory)
+        self.open_memory = MemoryCharge(server.memory)  # of the open request
+        self.unsent_memory = MemoryCharge(server.memory)  # of the write buffer, beyond what is guaranteed
+        self.writing_paused = False
         self.accepted_request: AcceptedRequest | None = None
         self.request_name = ""  # X-Call-Id of the open request
         self.keep_alive = True  # whether the client keeps the connection after the current request
@@ -75,8 +84,16 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        transport.set_write_buffer_limits(high=GUARANTEED_UNSENT_BYTES, low=0)
         self.server.connection_opened(self)
 
+    def pause_writing(self) -> None:
+        self.writing_paused = True
+
+    def resume_writing(self) -> None:
+        self.writing_paused = False
+        self.unsent_memory.set(0)
+
     def data_received(self, data: bytes) -> None:
         if self.closing:
             return
@@ -102,6 +119,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.server.connection_closed(self)
         self.on_client_left()
+        self.unsent_memory.set(0)
 
     def on_client_left(self) -> None:
         """Stop reading, and tell the core that the client of the open request is gone."""
@@ -122,6 +140,10 @@
         next_item = self.reader.next_request()
         if isinstance(next_item, ReceivedRequest):
             self.handle_request(next_item)
+        elif isinstance(next_item, DiscardedRequest):
+            self.keep_alive = next_item.keep_alive
+            reason = self.server.core.gate.may_start(False, self.idle_since, self.server.refuse_from)
+            self.refuse(RequestError(503, f"not begun: {reason.value}"), next_item.keep_alive)
         elif isinstance(next_item, ReadFailure):
             self.refuse(next_item.error, False)
         elif self.reader.awaits_continue:
@@ -137,17 +159,18 @@
             self.send_response(full_response(status, text, server.stopping), request.keep_alive)
             return
         try:
-            reason = server.core.gate.may_start(received.has_body, received.ended_at, server.refuse_from)
+            reason = server.core.gate.may_start(True, received.ended_at, server.refuse_from)
             if reason is not Reason.ALLOWED:
                 raise RequestError(503, f"not begun: {reason.value}")
             self.submit(request, received.started_at)
+            self.open_memory.set(OPEN_REQUEST_BYTES + request.size)
         except RequestError as exc:
             self.refuse(exc, request.keep_alive)
         except Exception as exc:
             log.error("client request could not be submitted", exc_info=exc)
             self.refuse(RequestError(500, "the request could not be taken"), request.keep_alive)
 
-    def submit(self, request: Request, started_at: float) -> None:
+    def submit(self, request: ParsedRequest, started_at: float) -> None:
         """Hand the request to the core. Raises RequestError before the core has seen any of it.
 
         The client's budget counts from the request's first byte: the client may have waited since then, also
@@ -160,7 +183,6 @@
             server.core, self, request, server.workloads, server.open_requests, started_at
         )
         self.request_name = request.headers["x-call-id"]
-        request.body = bytearray()  # the core has its own copy
         server.open_requests[self.request_name] = self.accepted_request
         server.connection_changed(self)
 
@@ -174,6 +196,7 @@
         """Forget the open request, once its final answer is due or its client is gone."""
         self.server.open_requests.pop(self.request_name, None)
         self.accepted_request, self.request_name = None, ""
+        self.open_memory.set(0)
 
     # Answers.
 
@@ -183,7 +206,10 @@
         if transport is None or transport.is_closing():
             return
         transport.write(data)
-        if transport.get_write_buffer_size() > MAX_UNSENT_BYTES:
+        unsent = transport.get_write_buffer_size()
+        if self.writing_paused:
+            self.unsent_memory.set(unsent)
+        if unsent > MAX_UNSENT_BYTES or (self.writing_paused and not self.server.memory.has_room()):
             # A client that sends requests and never reads would fill memory. This also drops one whose
             # network has been slower than its own answer for about a thousand events.
             self.record("closed", "reads too slowly")
--- a/heathford/platform/client_server.py
+++ b/heathford/platform/client_server.py
@@ -13,7 +13,7 @@
 from heathford.platform.client_connection import ClientConnection
 from heathford.platform.eviction import EvictionQueues
 from heathford.platform.responses import full_response
-from heathford.wire.request_reader import ReadAheadBudget
+from heathford.wire.memory_budget import MemoryBudget
 
 FIRST_BYTE_TIMEOUT = 2.0  # s from connecting: a silent connection has to be closed within 3 s
 IDLE_TIMEOUT = 30.0  # s of keep-alive between requests: clients come back within seconds or not at all
@@ -33,9 +33,14 @@
 
 
 class ClientServer:
-    """Accepts client connections and closes idle ones; at most max_connections are open."""
+    """Accepts client connections and closes idle ones; at most max_connections are open.
 
-    def __init__(self, core: Core, workloads: Mapping[str, int], max_connections: int) -> None:
+    memory: for requests and answers of all connections.
+    """
+
+    def __init__(
+        self, core: Core, workloads: Mapping[str, int], max_connections: int, memory: MemoryBudget
+    ) -> None:
         self.core, self.workloads, self.max_connections = core, workloads, max_connections
         self.loop = asyncio.get_running_loop()
         self.connections: dict[ClientConnection, None] = {}
@@ -45,7 +50,7 @@
         self.refuse_from = inf  # on the event loop's clock: new requests are refused from then on
         self.refused: Counter[int] = Counter()  # requests that the core never saw, by response status
         self.evicted = 0  # connections closed to free descriptors
-        self.read_ahead = ReadAheadBudget()
+        self.memory = memory
 
     def accept(self) -> ClientConnection:
         """Create the protocol object of a new connection."""
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -23,6 +23,7 @@
 from heathford.log_stream import LOG_STREAM
 from heathford.platform.client_server import SHUTDOWN_ACCEPT_PERIOD, SWEEP_INTERVAL, ClientServer
 from heathford.platform.link import PlatformLink
+from heathford.platform.memory import DEFAULT_REQUEST_BYTES, request_bytes, resident_bytes
 from heathford.platform.reload import ConfigurationReload
 from heathford.platform.signals import handled_signals
 from heathford.platform.start import (
@@ -33,6 +34,7 @@
     read_configuration,
 )
 from heathford.wire.http1 import MalformedMessageError
+from heathford.wire.memory_budget import MemoryBudget
 from heathford.wire.socket_state import poll_flags
 
 # s before the client timeout by which the final answer is given: for its way to the client and loop lag.
@@ -131,7 +133,9 @@
             self.core,
             {category["name"]: index for index, category in enumerate(settings["categories"])},
             descriptors.clients,
+            MemoryBudget(DEFAULT_REQUEST_BYTES),
         )
+        self.memory_mb: float | None = configuration["limits"].get("memory_mb")
         self.core.on_endpoint_list_failure = self.request_list_later
         # Fetches the endpoint list and follows its changes.
         self.watch = DiscoveryClient(*discovery, self.endpoint_list, self.on_list_change)
@@ -161,6 +165,7 @@
         sock = await self.open_listening_socket()
         if sock is None:
             return
+        self.clients.memory.max_bytes = request_bytes(self.memory_mb, resident_bytes())
         sock.setblocking(False)
         # After ENFILE, ENOBUFS or ENOMEM asyncio would accept nothing for a second, and offers no other way
         # to change that. Costs fifty system calls a second while the shortage lasts.
@@ -220,7 +225,8 @@
 
         taken: accepted requests; left: those whose client left; late: those that ran past their deadline;
         faults: decisions that raised; live: open requests; out: evicted client connections; spoilt: malformed
-        answers of engines; gate: refusals of the gate, by reason.
+        answers of engines; request_bytes: memory charged to clients' requests and answers, at most
+        max_request_bytes; gate: refusals of the gate, by reason.
         """
         tally, router = self.core.tally, self.core.router
         log.info(
@@ -251,6 +257,8 @@
             },
             logs_dropped=LOG_STREAM.dropped,
             mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
+            request_bytes=self.clients.memory.used_bytes,
+            max_request_bytes=self.clients.memory.max_bytes,
             cpu=round(time.process_time(), 2),
         )
         self.lag = 0.0
--- a/heathford/platform/request_acceptance.py
+++ b/heathford/platform/request_acceptance.py
@@ -10,7 +10,7 @@
 from heathford.core.core import Core
 from heathford.core.protocols import ResponseWriter
 from heathford.wire.http1 import MalformedMessageError, json_object
-from heathford.wire.requests import Request, RequestError
+from heathford.wire.requests import ParsedRequest, RequestError
 
 COMPLETIONS_PATH = "/v1/chat/completions"
 CALL_ID_PATTERN = re.compile(r"[0-9A-Za-z_-]{1,64}")  # part of a request path at the engines
@@ -20,7 +20,7 @@
 MAX_BUDGET_MS = 600_000  # ten minutes: longer than any client timeout in use
 MAX_TOKENS = 10_000_000  # of a prompt or an answer: larger than any model's context
 IDEMPOTENCY_KEY_HEADER = "idempotency-key"  # engines recognize a repeat by it: passed on unchanged
-SINGLE_HEADERS = (  # headers that may occur once only
+READ_HEADERS = (  # the headers that are used; each may occur once only
     "x-call-id",
     "x-call-class",
     "x-route-hash",
@@ -51,7 +51,7 @@
 def accept_request(
     core: Core,
     response_writer: ResponseWriter,
-    request: Request,
+    request: ParsedRequest,
     workloads: Mapping[str, int],
     open_requests: Mapping[str, AcceptedRequest],
     received: float,
@@ -67,7 +67,7 @@
     if request.method != "POST":
         raise RequestError(405, "only POST is known here")
     headers = request.headers
-    for field in SINGLE_HEADERS:
+    for field in READ_HEADERS:
         if field in request.repeated_fields:
             raise RequestError(400, f"{field} told twice")
     name = headers.get("x-call-id", "")
@@ -99,7 +99,7 @@
         raise RequestError(400, "prefix_len is more than prompt_len")
     # Rejects bodies that no engine accepts: an engine's error for one would look like a fault of that engine.
     try:
-        body = json_object(bytes(request.body))
+        body = json_object(request.body)
     except MalformedMessageError as exc:
         raise RequestError(400, f"the body is {exc}") from None
     if body.get("stream") is not True or not isinstance(body.get("messages"), list):
@@ -114,7 +114,7 @@
         shared_tokens,
         max_answer_tokens,
         budget / 1000,
-        (request.target, bytes(request.body)),
+        (request.target, request.body),
         mark=key,
         received=received,
         name=name,
--- a/heathford/platform/start.py
+++ b/heathford/platform/start.py
@@ -84,8 +84,9 @@
         check_unique_names(settings, "categories", list_indices(settings, "categories"), "name")
         for key in ("connIdleNs", "connectTimeoutNs"):
             get_number(settings, "policyLimits", key, minimum=1.0)
-        if configuration["limits"].get("sockets") is not None:
-            get_number(configuration, "limits", "sockets")
+        for key in ("sockets", "memory_mb"):
+            if configuration["limits"].get(key) is not None:
+                get_number(configuration, "limits", key)
     except SettingError as exc:
         raise StartError(f"the settings can't be used: {exc}") from None
     return configuration
--- a/heathford/soak/engine.py
+++ b/heathford/soak/engine.py
@@ -193,7 +193,7 @@
                 self.request_complete = True
                 self.record(now, RecordKind.LAST_BYTE, float(self.request.headers.get("x-budget-ms", "0")))
             self.request_started = False
-            self.request = Request(MAX_REQUEST_BYTES, MAX_REQUEST_BYTES, self.request.rest)
+            self.request = Request(MAX_REQUEST_BYTES, MAX_REQUEST_BYTES, self.request.buffer)
             self.request.feed(b"")
 
     def received(self, data: bytes) -> None:
--- a/heathford/standin/platform.py
+++ b/heathford/standin/platform.py
@@ -86,7 +86,7 @@
                     request.feed(data)
                 await self.answer(request, writer)
                 await writer.drain()
-                request = Request(MAX_REQUEST_PART_BYTES, MAX_REQUEST_PART_BYTES, request.rest)
+                request = Request(MAX_REQUEST_PART_BYTES, MAX_REQUEST_PART_BYTES, request.buffer)
         except (RequestError, OSError):
             return
         finally:
--- a/heathford/wire/http1.py
+++ b/heathford/wire/http1.py
@@ -69,7 +69,8 @@
 
     def take_body_bytes(self) -> bytes | None:
         """Return the buffered bytes of the body or chunk, or None where there are none."""
-        part = bytes(self.buffer[: self.remaining])
+        with memoryview(self.buffer) as view:
+            part = bytes(view[: self.remaining])
         del self.buffer[: self.remaining]
         self.remaining -= len(part)
         return part or None
--- a/heathford/wire/requests.py
+++ b/heathford/wire/requests.py
@@ -5,11 +5,15 @@
 """
 
 import re
+from collections.abc import Sequence
+from dataclasses import dataclass
 
 from heathford.wire.http1 import CONTENT_LENGTH, MalformedMessageError, Message, parse_token_list
 
 REQUEST_START = re.compile(rb"[A-Z]{1,16}( |$)|\r$")  # a method, or the beginning received so far
 REQUEST_LINE = re.compile(r"([A-Z]{1,16}) (/[!-~]*) HTTP/(\d)\.(\d)")
+# Memory of a ParsedRequest beside the contents of its fields: objects, a dict and the place in a queue.
+OVERHEAD_BYTES = 1_536
 FIELD_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 FIELD_VALUE = re.compile(r"[\t -~\x80-\xff]*")
 
@@ -29,16 +33,20 @@
     """Parses one request; `done` is set once it is complete.
 
     max_head_bytes, max_body_bytes: limits, above which the request is refused; the first is also that of a
-    chunk-size line (`max_line_bytes` of Message). rest: bytes received before.
+    chunk-size line (`max_line_bytes` of Message). buffer: bytes received before; parsed ones are removed from
+    it, so that the next request of the connection can be given the same buffer.
     """
 
-    def __init__(self, max_head_bytes: int, max_body_bytes: int, rest: bytes = b"") -> None:
+    def __init__(self, max_head_bytes: int, max_body_bytes: int, buffer: bytearray | None = None) -> None:
         super().__init__(max_head_bytes, max_body_bytes)
         self.max_body_bytes = max_body_bytes
-        self.buffer += rest
+        if buffer is not None:
+            self.buffer = buffer
         self.method = self.target = ""
         self.repeated_fields: dict[str, None] = {}  # names of fields that came more than once
         self.body = bytearray()
+        self.body_size = 0  # bytes of the body so far, discarded ones included
+        self.body_discarded = False
         self.expects_continue = False  # the client sends its body only after a 100 (Continue)
 
     @property
@@ -56,12 +64,23 @@
         self.buffer += data
         try:
             while not self.done and (part := self.read_next()) is not None:
-                self.body += part
-                if len(self.body) > self.max_body_bytes:
-                    raise RequestError(413, "a body too long")
+                self.add_body_part(part)
         except MalformedMessageError as error:
             raise RequestError(400, str(error)) from None
 
+    def add_body_part(self, part: bytes) -> None:
+        """Append to the body, unless it is discarded. Raises RequestError."""
+        self.body_size += len(part)
+        if self.body_size > self.max_body_bytes:
+            raise RequestError(413, "a body too long")
+        if not self.body_discarded:
+            self.body += part
+
+    def discard_body(self) -> None:
+        """Drop the body read so far, and what follows of it."""
+        self.body_discarded = True
+        self.body = bytearray()
+
     def read_head(self) -> bytes | None:
         while self.buffer.startswith(b"\r\n"):  # RFC 9112, 2.2: ignore empty lines before the request
             del self.buffer[:2]
@@ -123,3 +142,29 @@
             if expected.lower() != "100-continue":
                 raise RequestError(417, "an expectation other than 100-continue")
             self.expects_continue = not self.done and not self.buffer
+
+
+@dataclass(frozen=True, slots=True)
+class ParsedRequest:
+    """What is kept of a complete request.
+
+    headers: the fields that are used, by their names in lower case; repeated_fields: those of them that came
+    more than once; size: bytes of memory that it takes, for a MemoryBudget.
+    """
+
+    method: str
+    target: str
+    keep_alive: bool
+    headers: dict[str, str]
+    repeated_fields: tuple[str, ...]
+    body: bytes
+    size: int
+
+    @classmethod
+    def of(cls, request: Request, kept_fields: Sequence[str]) -> "ParsedRequest":
+        """Copy the fields of those names, and the body, from a complete request."""
+        headers = {name: request.headers[name] for name in kept_fields if name in request.headers}
+        repeated_fields = tuple(name for name in headers if name in request.repeated_fields)
+        body = bytes(request.body)
+        size = OVERHEAD_BYTES + len(request.target) + len(body) + sum(map(len, headers.values()))
+        return cls(request.method, request.target, request.keep_alive, headers, repeated_fields, body, size)
