Front node: requests that never end are refused in time, and a turn parses a bounded amount

Callers saw: beside ten clients whose trailer fields never end, 20 to 23 of 30 usual completions were answered seconds late; the ten were never answered nor closed. Empty lines, chunk extensions and chunks of one byte did the same.

Cause, three of them, each measured apart: parts of a request beside its body had no bound (trailers of 8 kB: little cost, and no answer in 9 s); all that one read brought was parsed in one turn of the loop (2 to 4 us a line, lag 2.6 s with ten clients); the time limit spared who has something unread, as any fast sender has.

Fix: bounds for trailers, empty lines, size lines and header fields, in the parser that requests and responses share. A read is parsed in steps, in turn with other connections. The time limit counts from the first byte: what had arrived when it is over is parsed first, so a request that arrived whole is answered after a hold-up of the process; what arrives later is no reason to wait.

--- a/heathford/platform/client_connection.py
+++ b/heathford/platform/client_connection.py
@@ -6,7 +6,7 @@
 
 import asyncio
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, Protocol
 
 import structlog
@@ -15,12 +15,13 @@
 from heathford.core.core import Core
 from heathford.core.gate import Reason
 from heathford.platform.eviction import Idleness
+from heathford.platform.parse_turns import ParseTurns
 from heathford.platform.request_acceptance import READ_HEADERS, accept_request
 from heathford.platform.responses import CLOSE_HEADER, STREAM_HEAD, full_response
 from heathford.wire.memory_budget import MemoryBudget, MemoryCharge
 from heathford.wire.request_reader import DiscardedRequest, ReadFailure, ReceivedRequest, RequestReader
 from heathford.wire.requests import ParsedRequest, RequestError
-from heathford.wire.socket_state import read_socket_state
+from heathford.wire.socket_state import read_socket_state, unread_bytes
 
 MAX_HEAD_BYTES = 16_384  # clients' heads have a few hundred
 MAX_BODY_BYTES = 262_144  # the protocol's limit
@@ -47,6 +48,7 @@
     connections: "dict[ClientConnection, None]"
     open_requests: dict[str, AcceptedRequest]
     memory: MemoryBudget
+    parse_turns: ParseTurns
     refused: Counter[int]
     stopping: bool
     refuse_from: float
@@ -78,6 +80,9 @@
         self.answered_count = 0
         self.head_sent = False  # of the current answer
         self.closing = False
+        # Once the time for the current request is over: the position on the connection up to which bytes had
+        # arrived by then.
+        self.overdue_position: int | None = None
 
     # Calls of the transport.
 
@@ -97,15 +102,44 @@
     def data_received(self, data: bytes) -> None:
         if self.closing:
             return
-        if self.answered_count and not self.reader.pending and self.accepted_request is None:
-            self.idle_since = self.server.loop.time()
+        now, reader = self.server.loop.time(), self.reader
+        was_idle = self.answered_count and not reader.pending and self.accepted_request is None
+        had_backlog = reader.has_unparsed
+        self.parse(lambda: reader.feed(data, now))
+        if was_idle and reader.pending:
+            self.idle_since = now
+        if reader.has_unparsed and not had_backlog:
+            self.server.parse_turns.add(self)
+        self.after_parsing()
+
+    @property
+    def has_unparsed(self) -> bool:
+        """Whether bytes were received that were not looked at yet."""
+        return self.reader.has_unparsed
+
+    def parse_more(self, max_steps: int) -> int:
+        """Parse what was received, in about so many steps; return the steps taken."""
+        if self.closing or not self.has_unparsed:
+            return 0
+        steps_taken = self.parse(lambda: self.reader.parse_more(max_steps)) or 0
+        self.after_parsing()
+        return steps_taken
+
+    def parse(self, call: Callable[[], int | None]) -> int | None:
+        """Call the parser; what it raises is answered as an unreadable request."""
         try:
-            self.reader.feed(data, self.server.loop.time())
+            return call()
         except Exception as exc:
             log.error("client request could not be parsed", exc_info=exc)
             self.reader.fail(RequestError(500, "the request could not be read"))
+            return None
+
+    def after_parsing(self) -> None:
+        """Handle what is complete now, and end a connection whose request is overdue."""
         self.handle_next()
         self.server.connection_changed(self)
+        if self.overdue_position is not None and not self.busy and not self.closing:
+            self.check_overdue()
 
     def eof_received(self) -> None:
         """Treat the end of the client's data as its departure.
@@ -221,6 +255,7 @@
         self.write(data)
         self.answered_count += 1
         self.idle_since = self.server.loop.time()
+        self.overdue_position = None
         if keep_alive and not (self.server.stopping and not self.has_further_request):
             self.server.loop.call_soon(self.handle_next)
             self.server.connection_changed(self)
@@ -247,6 +282,25 @@
         """Whether bytes or the end of the client's data wait in the kernel, not yet read."""
         return read_socket_state(self.transport).unread
 
+    def check_overdue(self) -> None:
+        """Answer with status 408, once all that had arrived when the time was over has been looked at.
+
+        A request that has arrived whole is answered, also where this process was too busy to read it. What
+        arrives later is no reason to wait: a client may send without end.
+        """
+        reader = self.reader
+        if self.overdue_position is None:
+            unread = unread_bytes(self.transport)
+            if unread is None:
+                return  # asked again at the next sweep
+            self.overdue_position = reader.arrivals.received + unread
+        if reader.parsed < self.overdue_position and (
+            reader.has_unparsed or reader.arrivals.received < self.overdue_position
+        ):
+            return
+        self.server.refused[408] += 1
+        self.send_response(full_response(408, "no whole request in time", True), False)
+
     def half_close_if_idle(self) -> bool:
         """Half-close the connection if no answer is owed on it; return whether that was done.
 
@@ -271,7 +325,7 @@
         It stays if an answer is owed or not yet sent, or if unread data has arrived. A client that has sent
         part of a request gets status 503.
         """
-        if self.busy or not self.flushed or (self.has_unread and not self.closing):
+        if self.busy or self.has_unparsed or not self.flushed or (self.has_unread and not self.closing):
             return False
         self.record("closed", "evicted")
         if self.reader.has_partial_request:
--- a/heathford/platform/client_server.py
+++ b/heathford/platform/client_server.py
@@ -12,7 +12,7 @@
 from heathford.core.core import Core
 from heathford.platform.client_connection import ClientConnection
 from heathford.platform.eviction import EvictionQueues
-from heathford.platform.responses import full_response
+from heathford.platform.parse_turns import ParseTurns
 from heathford.wire.memory_budget import MemoryBudget
 
 FIRST_BYTE_TIMEOUT = 2.0  # s from connecting: a silent connection has to be closed within 3 s
@@ -51,6 +51,7 @@
         self.refused: Counter[int] = Counter()  # requests that the core never saw, by response status
         self.evicted = 0  # connections closed to free descriptors
         self.memory = memory
+        self.parse_turns = ParseTurns(self.loop)
 
     def accept(self) -> ClientConnection:
         """Create the protocol object of a new connection."""
@@ -118,13 +119,9 @@
         elif connection.busy:
             return
         elif connection.reader.has_partial_request or not connection.answered_count:
-            if (
-                idle_time
-                >= (REQUEST_READ_TIMEOUT if connection.reader.has_partial_request else FIRST_BYTE_TIMEOUT)
-                and not connection.has_unread
-            ):
-                self.refused[408] += 1
-                connection.send_response(full_response(408, "no whole request in time", True), False)
+            partial = connection.reader.has_partial_request
+            if idle_time >= (REQUEST_READ_TIMEOUT if partial else FIRST_BYTE_TIMEOUT):
+                connection.check_overdue()
         elif idle_time >= IDLE_TIMEOUT:
             connection.half_close_if_idle()
 
--- a/heathford/wire/http1.py
+++ b/heathford/wire/http1.py
@@ -11,7 +11,11 @@
 import orjson
 
 MAX_CHUNK_BYTES = 1 << 30  # any plausible size, where the caller sets no stricter limit
-MAX_TRAILERS = 64  # fields; bounds the memory
+MAX_TRAILERS = 64  # fields
+# Bytes that size lines and line ends of all chunks of a message may have.
+MAX_FRAMING_BYTES = 65_536
+# The same for each byte of a response's body: streams are long, and have no limit.
+RESPONSE_FRAMING_RATIO = 16
 CONTENT_LENGTH = re.compile(r"[0-9]{1,15}")  # int() alone accepts signs, underscores and non-ASCII digits
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}")  # int() alone accepts signs, underscores and 0x too
 
@@ -20,6 +24,10 @@
     """The received bytes break the protocol."""
 
 
+class FieldsTooLongError(MalformedMessageError):
+    """A head or a trailer section is longer than allowed, or has too many fields."""
+
+
 def json_object(data: bytes) -> dict[str, Any]:
     """Parse a JSON object; raises MalformedMessageError for anything else."""
     try:
@@ -34,9 +42,9 @@
 class Message:
     """The framing that requests and responses share: received bytes, and a body of known length or in chunks.
 
-    max_line_bytes: limit of a head or of a chunk's size line; max_chunk_bytes: limit of the size that a chunk
-    states. A corrupt size would otherwise make the parser wait for gigabytes; a real chunk that long is
-    refused as well.
+    max_line_bytes: limit of a head, a trailer section or a chunk's size line; max_chunk_bytes: limit of the
+    size that a chunk states. A corrupt size would otherwise make the parser wait for gigabytes; a real chunk
+    that long is refused as well.
     """
 
     def __init__(self, max_line_bytes: int, max_chunk_bytes: int) -> None:
@@ -44,6 +52,9 @@
         self.buffer = bytearray()
         self.headers: dict[str, str] = {}
         self.trailers: dict[str, str] = {}
+        self.trailer_fields = self.trailer_bytes = 0
+        self.framing_bytes = 0  # of chunks
+        self.chunked_bytes = 0  # that the chunks have stated
         self.done = self.keep_alive = False
         self.remaining = 0  # bytes of the body, or of the current chunk, that are still to be received
         self.read_next = self.read_head  # parses the next part; returns None where it needs more bytes
@@ -51,9 +62,13 @@
     def read_head(self) -> bytes | None:
         raise NotImplementedError
 
+    def max_framing_bytes(self) -> int:
+        """Return how many bytes the framing of the chunks so far may have."""
+        return MAX_FRAMING_BYTES
+
     def read_line(self) -> bytes | None:
         """Return the next line without its end, or None where it is not complete yet."""
-        at = self.buffer.find(b"\r\n")
+        at = self.buffer.find(b"\r\n", 0, self.max_line_bytes + 3)
         if at < 0 or at > self.max_line_bytes:
             if len(self.buffer) > self.max_line_bytes:
                 raise MalformedMessageError("a line too long")
@@ -85,6 +100,10 @@
         self.remaining = int(size, 16)
         if self.remaining > self.max_chunk_bytes:
             raise MalformedMessageError("a chunk too long")
+        self.framing_bytes += len(line) + 2 * len(b"\r\n")
+        self.chunked_bytes += self.remaining
+        if self.framing_bytes > self.max_framing_bytes():
+            raise MalformedMessageError("chunks too small for their framing")
         self.read_next = self.read_chunk if self.remaining else self.read_trailers
         return b""
 
@@ -104,9 +123,11 @@
         if line is None:
             return None
         if line:
+            self.trailer_fields += 1
+            self.trailer_bytes += len(line) + len(b"\r\n")
+            if self.trailer_fields > MAX_TRAILERS or self.trailer_bytes > self.max_line_bytes:
+                raise FieldsTooLongError("trailers too long")
             self.trailers |= parse_header_fields([line.decode("latin-1")])
-            if len(self.trailers) > MAX_TRAILERS:
-                raise MalformedMessageError("too many trailers")
         else:
             self.done = True
         return b""
@@ -126,6 +147,10 @@
         self.strict = strict
         self.status = 0
         self.until_close = False  # the body ends when the peer closes
+        self.interim_bytes = 0  # heads of interim responses
+
+    def max_framing_bytes(self) -> int:
+        return MAX_FRAMING_BYTES + RESPONSE_FRAMING_RATIO * self.chunked_bytes
 
     def feed(self, data: bytes) -> Iterator[bytes]:
         """Parse received bytes and yield parts of the body. Raises MalformedMessageError."""
@@ -169,6 +194,9 @@
         self.headers = parse_header_fields(lines)
         if self.status < 200:  # an interim response: the final one follows
             self.headers = {}
+            self.interim_bytes += end + 4
+            if self.interim_bytes > self.max_line_bytes:
+                raise FieldsTooLongError("too many interim responses")
             return b""
         self.keep_alive = "close" not in parse_token_list(self.headers.get("connection", ""))
         if self.headers.get("transfer-encoding", "").lower() == "chunked":
--- a/heathford/wire/request_reader.py
+++ b/heathford/wire/request_reader.py
@@ -12,11 +12,14 @@
 from heathford.wire.memory_budget import MemoryBudget, MemoryCharge
 from heathford.wire.requests import ParsedRequest, Request, RequestError
 
+# Steps of the parser right after a read: more than a usual request needs, less than a millisecond.
+STEPS_PER_READ = 64
+MAX_UNPARSED_BYTES = 2_097_152  # on one connection: eight reads
 MAX_QUEUED_REQUESTS = 256  # on one connection; a client that sends more does not wait for answers
 # The part of the budget that is open to requests queued behind another one of their connection.
 READ_AHEAD_SHARE = 0.5
-# Bytes that the first request of a connection may take in any case: clients that send one request at a time
-# are served while others fill the budget.
+# Bytes that the first request of a connection, and one that is not complete, may take in any case: clients
+# that send one request at a time are served while others fill the budget.
 GUARANTEED_BYTES = 16_384
 
 
@@ -54,9 +57,38 @@
     count: int
 
 
+class ArrivalTimes:
+    """When the bytes of a connection were received, by their positions on it; in s on the loop's clock.
+
+    Positions have to be asked for in ascending order.
+    """
+
+    def __init__(self) -> None:
+        self.received = 0  # bytes in all
+        self.reads: deque[tuple[int, float]] = deque()  # position after each read, and its time
+
+    def add(self, size: int, now: float) -> None:
+        self.received += size
+        self.reads.append((self.received, now))
+
+    def keep_last(self) -> None:
+        """Forget all reads but the last one."""
+        while len(self.reads) > 1:
+            self.reads.popleft()
+
+    def time_of(self, position: int) -> float:
+        """Return when the byte at that position was received; earlier ones are forgotten."""
+        while self.reads[0][0] <= position:
+            self.reads.popleft()
+        return self.reads[0][1]
+
+
 class RequestReader:
     """Queues the requests of one connection in the order in which they were received.
 
+    What one read brings is parsed in several steps: while `has_unparsed` is set, the owner goes on with
+    `parse_more` in later turns of the event loop.
+
     max_head_bytes, max_body_bytes: limits of one request; kept_fields: header fields that the owner uses, in
     lower case; budget: shared by all connections.
     """
@@ -74,9 +106,15 @@
         self.unreadable = False
         self.buffer = bytearray()  # received bytes that are not parsed yet
         self.current = self.new_request()
-        self.started_at = 0.0  # when the first byte of the current one was read
+        self.arrivals = ArrivalTimes()
+        self.has_unparsed = False  # bytes were received that were not looked at yet
+        self.started_at: float | None = None  # when the first byte of the current one was read
 
     def new_request(self) -> Request:
+        """Return a parser of the next request.
+
+        A parser is freed by the garbage collector, so it must not be left with the body or received bytes.
+        """
         return Request(self.max_head_bytes, self.max_body_bytes, self.buffer)
 
     @property
@@ -86,9 +124,14 @@
 
     @property
     def has_partial_request(self) -> bool:
-        """Whether part of a request was received, and not its end."""
+        """Whether part of a request was received, and not its end; also true while it is not known."""
         return not self.unreadable and self.current.has_started
 
+    @property
+    def parsed(self) -> int:
+        """Bytes of the connection that were parsed."""
+        return self.arrivals.received - len(self.buffer)
+
     @property
     def pending(self) -> bool:
         """Whether more was received than was handled."""
@@ -104,21 +147,46 @@
         self.current.expects_continue = False
 
     def feed(self, data: bytes, now: float) -> None:
-        """Parse received bytes; after an error all further bytes of the connection are dropped."""
+        """Take received bytes, and parse the first ones unless there is a backlog.
+
+        After an error all further bytes of the connection are dropped.
+        """
         if self.unreadable:
             return
-        if not self.current.has_started:
-            self.started_at = now
+        self.buffer += data
+        self.arrivals.add(len(data), now)
+        if self.has_unparsed:
+            self.charge_partial_request()
+        else:
+            self.parse_more(STEPS_PER_READ)
+
+    def parse_more(self, max_steps: int) -> int:
+        """Parse received bytes in about so many steps, and return the steps taken."""
+        steps = 0
         try:
-            self.current.feed(data)
-            while self.current.done:
-                self.add(self.current, now)
-                self.started_at = now
+            while steps < max_steps:
+                self.note_start()
+                steps += self.current.parse(max_steps - steps)
+                if not self.current.done:
+                    break
+                self.add(self.current)
+                self.current.discard_body()
                 self.current = self.new_request()
-                self.current.feed(b"")
+                self.started_at = None
         except RequestError as error:
             self.fail(error)
+        self.has_unparsed = bool(self.buffer) and steps >= max_steps
+        if not self.has_unparsed:
+            self.arrivals.keep_last()
+        if not self.current.has_started:  # nothing but empty lines
+            self.started_at = None
         self.charge_partial_request()
+        return steps
+
+    def note_start(self) -> None:
+        """Note when the current request began, at its first byte."""
+        if self.started_at is None and self.buffer:
+            self.started_at = self.arrivals.time_of(self.parsed)
 
     def next_request(self) -> ReceivedRequest | DiscardedRequest | ReadFailure | None:
         """Remove and return the first item of the queue, if there is any."""
@@ -144,7 +212,7 @@
         self.queue_memory.set(0)
         self.drop_unparsed()
 
-    def add(self, request: Request, now: float) -> None:
+    def add(self, request: Request) -> None:
         """Queue a complete request, or count it where there is no memory for it. Raises RequestError."""
         if self.queued_requests >= MAX_QUEUED_REQUESTS:
             raise RequestError(503, "too many requests at once")
@@ -153,7 +221,9 @@
         parsed = None if request.body_discarded else ParsedRequest.of(request, self.kept_fields)
         if parsed and (self.is_guaranteed(parsed.size) or self.budget.has_room(parsed.size, self.share)):
             self.queue_memory.set(self.queue_memory.size + parsed.size)
-            self.queue.append(ReceivedRequest(parsed, self.started_at, now))
+            ended_at = self.arrivals.time_of(self.parsed - 1)
+            started_at = ended_at if self.started_at is None else self.started_at
+            self.queue.append(ReceivedRequest(parsed, started_at, ended_at))
         else:
             self.count_discarded(request.keep_alive)
 
@@ -175,11 +245,17 @@
             self.queue.append(DiscardedRun(keep_alive, 1))
 
     def charge_partial_request(self) -> None:
-        """Charge what was read of the current request; discard its body if there is no memory for it."""
+        """Charge what was received and is not complete; drop it if there is no memory for it."""
         self.partial_memory.set(self.partial_bytes)
-        if not self.is_guaranteed(self.partial_bytes) and not self.budget.has_room(share=self.share):
+        if not self.partial_fits():
             self.current.discard_body()
             self.partial_memory.set(self.partial_bytes)
+        if len(self.buffer) > MAX_UNPARSED_BYTES or not self.partial_fits():
+            self.fail(RequestError(503, "too much at once"))
+
+    def partial_fits(self) -> bool:
+        """Return whether there is memory for what was received and is not complete."""
+        return self.partial_bytes <= GUARANTEED_BYTES or self.budget.has_room()
 
     @property
     def partial_bytes(self) -> int:
@@ -193,7 +269,8 @@
 
     def drop_unparsed(self) -> None:
         """Drop the bytes not parsed yet, and ignore all further ones."""
-        self.unreadable = True
-        self.buffer = bytearray()
+        self.unreadable, self.has_unparsed = True, False
+        self.buffer.clear()
+        self.current.discard_body()
         self.current = self.new_request()
         self.partial_memory.set(0)
--- a/heathford/wire/requests.py
+++ b/heathford/wire/requests.py
@@ -5,12 +5,21 @@
 """
 
 import re
+import sys
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from heathford.wire.http1 import CONTENT_LENGTH, MalformedMessageError, Message, parse_token_list
+from heathford.wire.http1 import (
+    CONTENT_LENGTH,
+    FieldsTooLongError,
+    MalformedMessageError,
+    Message,
+    parse_token_list,
+)
 
 REQUEST_START = re.compile(rb"[A-Z]{1,16}( |$)|\r$")  # a method, or the beginning received so far
+MAX_FIELDS = 128  # of a head; clients' have a dozen
+EMPTY_LINES = re.compile(rb"(?:\r\n)+")
 REQUEST_LINE = re.compile(r"([A-Z]{1,16}) (/[!-~]*) HTTP/(\d)\.(\d)")
 # Memory of a ParsedRequest beside the contents of its fields: objects, a dict and the place in a queue.
 OVERHEAD_BYTES = 1_536
@@ -44,6 +53,8 @@
             self.buffer = buffer
         self.method = self.target = ""
         self.repeated_fields: dict[str, None] = {}  # names of fields that came more than once
+        self.empty_line_bytes = 0  # before the request line
+        self.steps = 0  # lines and parts of the body parsed so far
         self.body = bytearray()
         self.body_size = 0  # bytes of the body so far, discarded ones included
         self.body_discarded = False
@@ -62,11 +73,28 @@
     def feed(self, data: bytes) -> None:
         """Parse received bytes. Raises RequestError, after which the connection can't be read any further."""
         self.buffer += data
+        self.parse(sys.maxsize)
+
+    def parse(self, max_steps: int) -> int:
+        """Parse buffered bytes, and return the steps taken: a step is a line or a part of the body.
+
+        A head is parsed whole. Fewer steps than `max_steps` are taken where the request is done or needs more
+        bytes. Raises RequestError.
+        """
+        steps_before = self.steps
         try:
-            while not self.done and (part := self.read_next()) is not None:
-                self.add_body_part(part)
+            while self.steps - steps_before < max_steps and not self.done:
+                part = self.read_next()
+                if part is None:
+                    break
+                self.steps += 1
+                if part:
+                    self.add_body_part(part)
+        except FieldsTooLongError as error:
+            raise RequestError(431, str(error)) from None
         except MalformedMessageError as error:
             raise RequestError(400, str(error)) from None
+        return self.steps - steps_before
 
     def add_body_part(self, part: bytes) -> None:
         """Append to the body, unless it is discarded. Raises RequestError."""
@@ -82,9 +110,8 @@
         self.body = bytearray()
 
     def read_head(self) -> bytes | None:
-        while self.buffer.startswith(b"\r\n"):  # RFC 9112, 2.2: ignore empty lines before the request
-            del self.buffer[:2]
-        end = self.buffer.find(b"\r\n\r\n")
+        self.skip_empty_lines()
+        end = self.buffer.find(b"\r\n\r\n", 0, self.max_line_bytes + 5)
         if (len(self.buffer) if end < 0 else end) > self.max_line_bytes:
             raise RequestError(431, "a head too long")
         if self.buffer and not REQUEST_START.match(self.buffer):
@@ -93,6 +120,9 @@
             return None
         request_line, *lines = self.buffer[:end].decode("latin-1").split("\r\n")
         del self.buffer[: end + 4]
+        if len(lines) > MAX_FIELDS:
+            raise RequestError(431, "too many header fields")
+        self.steps += len(lines)
         parts = REQUEST_LINE.fullmatch(request_line)
         if not parts:
             raise RequestError(400, "no HTTP request line")
@@ -111,6 +141,15 @@
         self.determine_body_length()
         return b""
 
+    def skip_empty_lines(self) -> None:
+        """Remove empty lines before the request (RFC 9112, 2.2), a bounded number. Raises RequestError."""
+        lines = EMPTY_LINES.match(self.buffer, 0, self.max_line_bytes + 2)
+        if lines:
+            self.empty_line_bytes += lines.end()
+            del self.buffer[: lines.end()]
+        if self.empty_line_bytes > self.max_line_bytes:
+            raise RequestError(400, "no request after empty lines")
+
     def determine_body_length(self) -> None:
         """Find out how the body is framed; refuse it where its length is stated in two ways.
 
--- a/heathford/wire/socket_state.py
+++ b/heathford/wire/socket_state.py
@@ -6,6 +6,7 @@
 import struct
 from dataclasses import dataclass
 
+FIONREAD = 0x541B  # ioctl: number of bytes that wait to be read
 SIOCOUTQ = 0x5411  # ioctl: number of bytes in the send queue that the peer has not acknowledged
 POLL_ATTEMPTS = 3  # the system may have no memory for a moment
 
@@ -55,17 +56,27 @@
     return SocketState(unread=bool(flags), ended=ended)
 
 
-def unacknowledged_bytes(transport: asyncio.Transport | None) -> int:
-    """Return the written bytes that the peer's machine has not acknowledged, or 0 where this is not known.
+def unread_bytes(transport: asyncio.Transport | None) -> int | None:
+    """Return how many bytes wait to be read, or None where this is not known. Costs one system call."""
+    return query_socket(transport, FIONREAD)
 
-    Bytes that the kernel has not sent yet are included: the kernel may send them until the socket is closed,
-    so they are not known to stay on this machine. The cost is one system call, which does not wait.
-    """
+
+def query_socket(transport: asyncio.Transport | None, request: int) -> int | None:
+    """Return the number that an ioctl(2) of the transport's socket yields, or None where it fails."""
     if transport is None or transport.is_closing():
-        return 0
+        return None
     descriptor = transport.get_extra_info("socket").fileno()
     try:
-        answer = fcntl.ioctl(descriptor, SIOCOUTQ, bytes(4))
+        answer = fcntl.ioctl(descriptor, request, bytes(4))
     except OSError:
-        return 0
+        return None
     return max(0, int(struct.unpack("i", answer)[0]))
+
+
+def unacknowledged_bytes(transport: asyncio.Transport | None) -> int:
+    """Return the written bytes that the peer's machine has not acknowledged, or 0 where this is not known.
+
+    Bytes that the kernel has not sent yet are included: the kernel may send them until the socket is closed,
+    so they are not known to stay on this machine. The cost is one system call, which does not wait.
+    """
+    return query_socket(transport, SIOCOUTQ) or 0
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -150,3 +150,35 @@
         for _ in range(100):
             answer.feed(b"a" * 1000)
     assert len(answer.events.buffer) < 40_000
+
+
+CHUNKED_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    "start, part",
+    [
+        (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        (CHUNKED_HEAD + b"0\r\n", b"a:\r\n"),
+        (CHUNKED_HEAD, b"1;%b\r\n \r\n" % (b"x" * 900)),
+    ],
+    ids=["interim responses", "trailers", "extensions"],
+)
+@pytest.mark.parametrize("count", [1, 1_000])
+def test_an_answer_without_end_is_malformed(start: bytes, part: bytes, count: int) -> None:
+    """Parts beside the body had no bound, and an engine that sends them took the loop's time."""
+    answer, size = Answer(False), 0
+    answer.feed(start)
+    with pytest.raises(MalformedMessageError):
+        while size < 1 << 20:
+            size += len(part) * count
+            answer.feed(part * count)
+
+
+def test_a_long_stream_in_chunks_of_one_byte_is_passed_on() -> None:
+    """The bound on framing grows with the body, as a stream has no limit; events are not searched by byte."""
+    answer, event = Answer(False), EVENTS[0]
+    data = b"".join(b"1\r\n%c\r\n" % byte for byte in event)
+    answer.feed(CHUNKED_HEAD)
+    for _ in range(40_000 // len(event)):
+        assert answer.feed(data) == event
--- a/tests/test_requests.py
+++ b/tests/test_requests.py
@@ -1,8 +1,10 @@
-"""The parser of requests: independent of how bytes are split, and strict."""
+"""The parser of requests: independent of how bytes are split, strict, and bounded."""
+
+from itertools import repeat
 
 import pytest
 
-from heathford.wire.requests import RequestError, Request
+from heathford.wire.requests import MAX_FIELDS, Request, RequestError
 
 PLAIN = b"POST /v1/x?a=1 HTTP/1.1\r\nHost: o\r\nX-Call-Id: 7\r\nContent-Length: 4\r\n\r\nabcd"
 CHUNKED = (
@@ -90,6 +92,54 @@
         assert refused.value.status == status
 
 
+CHUNKED_HEAD = head(b"Transfer-Encoding: chunked")
+FAR_TOO_MUCH = 1 << 20  # bytes
+
+
+@pytest.mark.parametrize(
+    "start, part, status",
+    [
+        (CHUNKED_HEAD + b"0\r\n", b"a:\r\n", 431),
+        (CHUNKED_HEAD + b"0\r\n", b"a: %b\r\n" % (b"x" * 900), 431),
+        (b"", b"\r\n", 400),
+        (CHUNKED_HEAD, b"1;%b\r\na\r\n" % (b"x" * 900), 400),
+        (CHUNKED_HEAD, b"1\r\na\r\n", 400),
+        (b"POST / HTTP/1.1\r\n", b"a:\r\n", 431),
+    ],
+    ids=["trailers", "long trailers", "empty lines", "extensions", "tiny chunks", "fields"],
+)
+def test_a_request_without_end_is_refused(start: bytes, part: bytes, status: int) -> None:
+    """Parts beside the body had no bound: such a client was never answered, and took the loop's time."""
+    for count in (1, 1_000):
+        request, size = Request(1024, 1 << 30), 0
+        request.feed(start)
+        with pytest.raises(RequestError) as refused:
+            for data in repeat(part * count):
+                size += len(part)
+                assert size < FAR_TOO_MUCH
+                request.feed(data)
+        assert refused.value.status == status
+
+
+def test_a_head_of_hundreds_of_fields_is_refused() -> None:
+    """Each field costs time, and 1,800 short ones fit into the bytes that a head may have."""
+    data = head(*[b"a%d:" % number for number in range(MAX_FIELDS)])
+    Request(16_384, 1024).feed(data)
+    with pytest.raises(RequestError) as refused:
+        Request(16_384, 1024).feed(data[:-2] + b"a:\r\n\r\n")
+    assert refused.value.status == 431
+
+
+def test_what_usual_requests_bring_beside_the_body_is_accepted() -> None:
+    """The bounds leave room for a whole body in small chunks, for extensions, trailers and empty lines."""
+    body = b"x" * 262_144
+    chunk = b"20;a=1\r\n" + b"x" * 32 + b"\r\n"
+    request = Request(16_384, len(body))
+    data = chunk * 4_000 + b"%x\r\n" % (len(body) - 128_000) + body[128_000:] + b"\r\n0\r\nT: 1\r\n\r\n"
+    request.feed(b"\r\n\r\n" + CHUNKED_HEAD + data)
+    assert request.done and request.body == body
+
+
 def test_a_client_that_awaits_100_continue() -> None:
     request = Request(1024, 1024)
     request.feed(head(b"Expect: 100-continue", b"Content-Length: 2"))
