Engines' answers: an event in small chunks is searched for its end once

Callers saw: an engine that sends an event of 15 kB in chunks of one byte held the event loop up for a second (270 kB, three events), and streams of others with it.

Cause: EventStream.feed searched its whole buffer, twice for each kind of line end, with every chunk: work with the square of an event's length. Found on the paths related to requests without end.

--- a/heathford/platform/answers.py
+++ b/heathford/platform/answers.py
@@ -21,6 +21,7 @@
 }  # status with that header -> detail; 1: could not fetch the prefill state
 DONE_EVENT = b"data: [DONE]"
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+LONGEST_EVENT_END = max(map(len, EVENT_ENDS))
 
 
 class EventStream:
@@ -37,10 +38,7 @@
 
     def feed(self, part: bytes) -> bytes:
         """Return the bytes of all events that are now complete. Raises MalformedMessageError."""
-        self.buffer += part
-        end_of_events = max(
-            self.buffer.rfind(end) + len(end) if end in self.buffer else 0 for end in EVENT_ENDS
-        )
+        end_of_events = self.find_end(part)
         if len(self.buffer) - end_of_events > LONGEST_LINE:
             raise MalformedMessageError("an event is too long")
         if not end_of_events:
@@ -56,6 +54,16 @@
         self.finished = complete.rstrip().endswith(DONE_EVENT)
         return complete
 
+    def find_end(self, part: bytes) -> int:
+        """Append the bytes to the buffer, and return how many of it complete events have, or 0.
+
+        Only the new bytes are searched: an event may come in chunks of one byte.
+        """
+        search_from = max(0, len(self.buffer) - LONGEST_EVENT_END + 1)
+        self.buffer += part
+        places = ((self.buffer.rfind(end, search_from), len(end)) for end in EVENT_ENDS)
+        return max(place + length if place >= 0 else 0 for place, length in places)
+
     def check_first_event(self, complete: bytes) -> None:
         """Raise MalformedMessageError unless the first event is a completion chunk."""
         first = complete.lstrip(b"\r\n").split(b"\n", 1)[0]
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -1,9 +1,11 @@
 """The outcome of each engine answer in the platform's protocol, also when it arrives byte by byte."""
 
+from typing import Any
+
 import pytest
 
 from heathford.interface import Outcome
-from heathford.platform.answers import Answer
+from heathford.platform.answers import Answer, EventStream
 from heathford.standin.platform import (
     EVENTS,
     DECODE_RESPONSE,
@@ -182,3 +184,32 @@
     answer.feed(CHUNKED_HEAD)
     for _ in range(40_000 // len(event)):
         assert answer.feed(data) == event
+
+
+def test_an_event_is_searched_for_its_end_once() -> None:
+    """Each chunk had the whole buffer searched again: a second for 270 kB in chunks of one byte."""
+    searched = 0
+
+    class CountedBytes(bytes):
+        def rfind(self, sub: Any, start: Any = None, end: Any = None) -> int:
+            nonlocal searched
+            searched += len(self) - (start or 0)
+            return super().rfind(sub, start, end)
+
+        def __contains__(self, sub: Any) -> bool:
+            nonlocal searched
+            searched += len(self)
+            return super().__contains__(sub)
+
+        def __add__(self, other: Any) -> "CountedBytes":
+            return CountedBytes(super().__add__(other))
+
+        def __getitem__(self, key: Any) -> Any:
+            item = super().__getitem__(key)
+            return CountedBytes(item) if isinstance(item, bytes) else item
+
+    stream = EventStream()
+    stream.buffer = CountedBytes()
+    event = EVENTS[0][:-2] + b" " * 4_000 + b"\n\n"
+    passed_on = b"".join(stream.feed(bytes([byte])) for byte in event)
+    assert passed_on == event and searched < 20 * len(event)
