Client server: a silent client that has begun to send has the time of a request

Callers would have seen: a client that connects, says nothing for 2 s and then sends its request in pieces got 408 with the first piece where that lay unread at the check, not after the 2.45 s that a request has. Cause: the position up to which bytes had arrived was noted for silent connections too. They are left until they are read, as before the bounds.

--- a/heathford/platform/client_connection.py
+++ b/heathford/platform/client_connection.py
@@ -176,8 +176,7 @@
             self.handle_request(next_item)
         elif isinstance(next_item, DiscardedRequest):
             self.keep_alive = next_item.keep_alive
-            reason = self.server.core.gate.may_start(False, self.idle_since, self.server.refuse_from)
-            self.refuse(RequestError(503, f"not begun: {reason.value}"), next_item.keep_alive)
+            self.refuse_unkept(next_item.keep_alive)
         elif isinstance(next_item, ReadFailure):
             self.refuse(next_item.error, False)
         elif self.reader.awaits_continue:
@@ -197,7 +196,6 @@
             if reason is not Reason.ALLOWED:
                 raise RequestError(503, f"not begun: {reason.value}")
             self.submit(request, received.started_at)
-            self.open_memory.set(OPEN_REQUEST_BYTES + request.size)
         except RequestError as exc:
             self.refuse(exc, request.keep_alive)
         except Exception as exc:
@@ -216,6 +214,7 @@
         self.accepted_request = accept_request(
             server.core, self, request, server.workloads, server.open_requests, started_at
         )
+        self.open_memory.set(OPEN_REQUEST_BYTES + request.size)
         self.request_name = request.headers["x-call-id"]
         server.open_requests[self.request_name] = self.accepted_request
         server.connection_changed(self)
@@ -226,6 +225,12 @@
         self.record("refused", str(exc.status))
         self.send_response(full_response(exc.status, str(exc), not keep_alive), keep_alive)
 
+    def refuse_unkept(self, keep_alive: bool) -> None:
+        """Refuse a request that was read and not kept."""
+        server = self.server
+        reason = server.core.gate.may_start(False, server.loop.time(), server.refuse_from)
+        self.refuse(RequestError(503, f"not begun: {reason.value}"), keep_alive)
+
     def clear_request(self) -> None:
         """Forget the open request, once its final answer is due or its client is gone."""
         self.server.open_requests.pop(self.request_name, None)
@@ -283,7 +288,7 @@
         return read_socket_state(self.transport).unread
 
     def check_overdue(self) -> None:
-        """Answer with status 408, once all that had arrived when the time was over has been looked at.
+        """Time the current request out, once all that had arrived when its time was over has been parsed.
 
         A request that has arrived whole is answered, also where this process was too busy to read it. What
         arrives later is no reason to wait: a client may send without end.
@@ -298,6 +303,10 @@
             reader.has_unparsed or reader.arrivals.received < self.overdue_position
         ):
             return
+        self.time_out()
+
+    def time_out(self) -> None:
+        """Answer with status 408, and half-close the connection."""
         self.server.refused[408] += 1
         self.send_response(full_response(408, "no whole request in time", True), False)
 
--- a/heathford/platform/client_server.py
+++ b/heathford/platform/client_server.py
@@ -118,10 +118,12 @@
                 connection.drop()
         elif connection.busy:
             return
-        elif connection.reader.has_partial_request or not connection.answered_count:
-            partial = connection.reader.has_partial_request
-            if idle_time >= (REQUEST_READ_TIMEOUT if partial else FIRST_BYTE_TIMEOUT):
+        elif connection.reader.has_partial_request:
+            if idle_time >= REQUEST_READ_TIMEOUT:
                 connection.check_overdue()
+        elif not connection.answered_count:
+            if idle_time >= FIRST_BYTE_TIMEOUT and not connection.has_unread:
+                connection.time_out()
         elif idle_time >= IDLE_TIMEOUT:
             connection.half_close_if_idle()
 
