--- a/heathford/wire/http1.py
+++ b/heathford/wire/http1.py
@@ -84,9 +84,12 @@
 
     def take_body_bytes(self) -> bytes | None:
         """Return the buffered bytes of the body or chunk, or None where there are none."""
-        with memoryview(self.buffer) as view:
-            part = bytes(view[: self.remaining])
-        del self.buffer[: self.remaining]
+        if len(self.buffer) <= self.remaining:
+            part = bytes(self.buffer)
+            self.buffer.clear()
+        else:
+            part = bytes(self.buffer[: self.remaining])
+            del self.buffer[: self.remaining]
         self.remaining -= len(part)
         return part or None
 
--- a/heathford/wire/memory_budget.py
+++ b/heathford/wire/memory_budget.py
@@ -18,6 +18,8 @@
 class MemoryCharge:
     """What one user of a budget takes of it."""
 
+    __slots__ = ("budget", "size")
+
     def __init__(self, budget: MemoryBudget) -> None:
         self.budget = budget
         self.size = 0
--- a/heathford/wire/request_reader.py
+++ b/heathford/wire/request_reader.py
@@ -23,7 +23,7 @@
 GUARANTEED_BYTES = 16_384
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ReceivedRequest:
     """A complete request.
 
@@ -65,7 +65,7 @@
 
     def __init__(self) -> None:
         self.received = 0  # bytes in all
-        self.reads: deque[tuple[int, float]] = deque()  # position after each read, and its time
+        self.reads: list[tuple[int, float]] = []  # position after each read, and its time
 
     def add(self, size: int, now: float) -> None:
         self.received += size
@@ -73,13 +73,12 @@
 
     def keep_last(self) -> None:
         """Forget all reads but the last one."""
-        while len(self.reads) > 1:
-            self.reads.popleft()
+        del self.reads[:-1]
 
     def time_of(self, position: int) -> float:
         """Return when the byte at that position was received; earlier ones are forgotten."""
         while self.reads[0][0] <= position:
-            self.reads.popleft()
+            del self.reads[0]
         return self.reads[0][1]
 
 
@@ -180,7 +179,8 @@
             self.arrivals.keep_last()
         if not self.current.has_started:  # nothing but empty lines
             self.started_at = None
-        self.charge_partial_request()
+        if self.partial_bytes or self.partial_memory.size:
+            self.charge_partial_request()
         return steps
 
     def note_start(self) -> None:
@@ -247,15 +247,18 @@
     def charge_partial_request(self) -> None:
         """Charge what was received and is not complete; drop it if there is no memory for it."""
         self.partial_memory.set(self.partial_bytes)
+        if self.partial_fits():
+            return
+        self.current.discard_body()
+        self.partial_memory.set(self.partial_bytes)
         if not self.partial_fits():
-            self.current.discard_body()
-            self.partial_memory.set(self.partial_bytes)
-        if len(self.buffer) > MAX_UNPARSED_BYTES or not self.partial_fits():
             self.fail(RequestError(503, "too much at once"))
 
     def partial_fits(self) -> bool:
         """Return whether there is memory for what was received and is not complete."""
-        return self.partial_bytes <= GUARANTEED_BYTES or self.budget.has_room()
+        if self.partial_memory.size <= GUARANTEED_BYTES:
+            return True
+        return len(self.buffer) <= MAX_UNPARSED_BYTES and self.budget.has_room()
 
     @property
     def partial_bytes(self) -> int:
@@ -270,7 +273,8 @@
     def drop_unparsed(self) -> None:
         """Drop the bytes not parsed yet, and ignore all further ones."""
         self.unreadable, self.has_unparsed = True, False
-        self.buffer.clear()
-        self.current.discard_body()
-        self.current = self.new_request()
         self.partial_memory.set(0)
+        if self.current.has_started:
+            self.buffer.clear()
+            self.current.discard_body()
+            self.current = self.new_request()
--- a/heathford/wire/requests.py
+++ b/heathford/wire/requests.py
@@ -23,8 +23,7 @@
 REQUEST_LINE = re.compile(r"([A-Z]{1,16}) (/[!-~]*) HTTP/(\d)\.(\d)")
 # Memory of a ParsedRequest beside the contents of its fields: objects, a dict and the place in a queue.
 OVERHEAD_BYTES = 1_536
-FIELD_NAME = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
-FIELD_VALUE = re.compile(r"[\t -~\x80-\xff]*")
+FIELD_LINE = re.compile(r"([!#$%&'*+\-.^_`|~0-9A-Za-z]+):([\t -~\x80-\xff]*)")
 
 
 class RequestError(Exception):
@@ -83,7 +82,7 @@
         """
         steps_before = self.steps
         try:
-            while self.steps - steps_before < max_steps and not self.done:
+            while self.buffer and not self.done and self.steps - steps_before < max_steps:
                 part = self.read_next()
                 if part is None:
                     break
@@ -110,7 +109,8 @@
         self.body = bytearray()
 
     def read_head(self) -> bytes | None:
-        self.skip_empty_lines()
+        if self.buffer.startswith(b"\r\n"):
+            self.skip_empty_lines()
         end = self.buffer.find(b"\r\n\r\n", 0, self.max_line_bytes + 5)
         if (len(self.buffer) if end < 0 else end) > self.max_line_bytes:
             raise RequestError(431, "a head too long")
@@ -129,13 +129,13 @@
         if parts[3] != "1" or parts[4] != "1":
             raise RequestError(505, "only HTTP/1.1 is spoken here")
         for line in lines:
-            name, colon, value = line.partition(":")
-            name, value = name.lower(), value.strip(" \t")
-            if not colon or not FIELD_NAME.fullmatch(name) or not FIELD_VALUE.fullmatch(value):
+            field = FIELD_LINE.fullmatch(line)
+            if not field:
                 raise RequestError(400, "a header line that can't be read")
+            name = field[1].lower()
             if name in self.headers:
                 self.repeated_fields[name] = None
-            self.headers[name] = value
+            self.headers[name] = field[2].strip(" \t")
         self.method, self.target = parts[1], parts[2]
         self.keep_alive = "close" not in parse_token_list(self.headers.get("connection", ""))
         self.determine_body_length()
@@ -144,9 +144,9 @@
     def skip_empty_lines(self) -> None:
         """Remove empty lines before the request (RFC 9112, 2.2), a bounded number. Raises RequestError."""
         lines = EMPTY_LINES.match(self.buffer, 0, self.max_line_bytes + 2)
-        if lines:
-            self.empty_line_bytes += lines.end()
-            del self.buffer[: lines.end()]
+        size = lines.end() if lines else 0
+        self.empty_line_bytes += size
+        del self.buffer[:size]
         if self.empty_line_bytes > self.max_line_bytes:
             raise RequestError(400, "no request after empty lines")
 
@@ -183,7 +183,7 @@
             self.expects_continue = not self.done and not self.buffer
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ParsedRequest:
     """What is kept of a complete request.
 
@@ -202,8 +202,9 @@
     @classmethod
     def of(cls, request: Request, kept_fields: Sequence[str]) -> "ParsedRequest":
         """Copy the fields of those names, and the body, from a complete request."""
-        headers = {name: request.headers[name] for name in kept_fields if name in request.headers}
-        repeated_fields = tuple(name for name in headers if name in request.repeated_fields)
+        sent = request.headers
+        headers = {name: sent[name] for name in kept_fields if name in sent}
+        repeated_fields = tuple(name for name in request.repeated_fields if name in headers)
         body = bytes(request.body)
         size = OVERHEAD_BYTES + len(request.target) + len(body) + sum(map(len, headers.values()))
         return cls(request.method, request.target, request.keep_alive, headers, repeated_fields, body, size)
