Soak: SIGTERM ends it where SIGINT is ignored, as in the background of a script

Cause: the soak passes SIGTERM on as SIGINT, shells have background jobs ignore SIGINT, and asyncio then installs no handler. Fix: the soak sets Python's handler of SIGINT first.

--- a/heathford/cli/main.py
+++ b/heathford/cli/main.py
@@ -387,6 +387,8 @@
     report.mkdir(parents=True, exist_ok=True)
     # Handles SIGTERM like SIGINT, so that the front nodes end with the run. The event loop's SIGINT handler
     # waits for a front node that is being started; an exception during its start would leave it running.
+    # Shells have jobs in the background ignore SIGINT, and asyncio leaves it so.
+    signal.signal(signal.SIGINT, signal.default_int_handler)
     signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     if replay:
         outcome = run_plan(parse_plan(replay.read_text()), fronts, report)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -459,6 +459,8 @@
 
 TERMINATED_DURING_A_START = """
 import os, signal, subprocess, sys
+if sys.argv[2] == "ignored":
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
 execute_child = subprocess.Popen._execute_child
 def execute_and_terminate(self, *arguments):
     execute_child(self, *arguments)
@@ -469,10 +471,12 @@
 """
 
 
-def test_soak_terminated_during_a_start_leaves_no_front_node_behind(tmp_path: Path) -> None:
+@pytest.mark.parametrize("sigint", ["default", "ignored"])
+def test_soak_terminated_during_a_start_leaves_no_front_node_behind(tmp_path: Path, sigint: str) -> None:
     """Guards against a front node that the soak does not know of yet.
 
-    It kept running and kept the soak's output open.
+    It kept running and kept the soak's output open. In the background of a script, where SIGINT is ignored,
+    the soak itself ran on.
     """
 
     async def scenario() -> None:
@@ -481,6 +485,7 @@
             "-c",
             TERMINATED_DURING_A_START,
             str(tmp_path),
+            sigint,
             cwd=Path(__file__).parent.parent,
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
