--- a/heathford/core/accepted_request.py
+++ b/heathford/core/accepted_request.py
@@ -66,6 +66,8 @@
     def send(self, engine: int, timeout: float) -> None:
         core = self.core
         attempt = EngineAttempt(self, len(self.attempts), core.endpoints[engine], core.loop.time())
+        if self.routed_request and self.routed_request.current_attempt:
+            attempt.cold_admission = self.routed_request.current_attempt.cold_admission
         self.attempts.append(attempt)
         self.in_flight = attempt
         core.gate.transition(self.lifecycle, Event.HANDED_OVER)
--- a/heathford/core/engine_attempt.py
+++ b/heathford/core/engine_attempt.py
@@ -4,16 +4,21 @@
 from math import inf
 from typing import TYPE_CHECKING, Any
 
+import structlog
+
 from heathford.core.protocols import LinkCall, Cancellable, Endpoint
 from heathford.core.gate import GateAttempt, Event, Reason, Stage
 from heathford.core.held_state import HeldStage, HeldState, ReleaseReason, SignOfLife
 from heathford.interface import ANSWERED_BY_ENGINE, NEVER_RAN, Role, Outcome
+from heathford.policy.engine_state import ColdAdmission
 from heathford.policy.held_state import TIMER_TOLERANCE, SILENT_AFTER, release_time
 from heathford.policy.transfer import PROGRESS_CHECK_INTERVAL
 
 if TYPE_CHECKING:
     from heathford.core.accepted_request import AcceptedRequest
 
+log = structlog.get_logger()
+
 
 class EngineAttempt:
     """One attempt of a request; its link reports on it: `heathford.core.protocols.CallEvents`.
@@ -30,6 +35,7 @@
         self.arrival_check: Cancellable | None = None  # timer
         self.call: LinkCall | None = None
         self.held: HeldState | None = None
+        self.cold_admission: ColdAdmission | None = None  # None: its engine was warm when it was decided
         self.gate_attempt = GateAttempt(request.core.target(endpoint.number), self.is_prefill, now)
         request.lifecycle.attempts.append(self.gate_attempt)
 
@@ -63,8 +69,24 @@
             return False
         core.gate.transition(request.lifecycle, Event.SENT)
         self.record("sent")
+        if self.cold_admission:
+            self.log_cold_attempt(self.cold_admission)
         return True
 
+    def log_cold_attempt(self, admission: ColdAdmission) -> None:
+        """Log that this attempt is sent to a cold engine, and why it was let in; times in s."""
+        log.info(
+            "cold engine used",
+            engine=self.endpoint.name,
+            role=self.endpoint.role.value,
+            request=self.request.name,
+            attempt=self.seq,
+            age=round(admission.age, 3),
+            share=round(admission.share, 4),
+            own_in_window=admission.recent_attempts,
+            waited=round(self.request.core.loop.time() - self.handed_over_at, 3),
+        )
+
     def answer_begun(self) -> None:
         """Follow the held state from the first byte of the prefill engine's answer on."""
         if not self.over:
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -9,6 +9,7 @@
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import asdict, dataclass
+from itertools import islice
 from pathlib import Path
 from typing import Any
 
@@ -20,6 +21,7 @@
 from heathford.discovery.follower import ListChange
 from heathford.early_signals import EARLY_SIGNALS
 from heathford.fleet.endpoint_list import EndpointList
+from heathford.interface import Health
 from heathford.log_stream import LOG_STREAM
 from heathford.platform.client_server import SHUTDOWN_ACCEPT_PERIOD, SWEEP_INTERVAL, ClientServer
 from heathford.platform.link import PlatformLink
@@ -62,6 +64,7 @@
 FIRST_LIST_TIMEOUT = 0.5
 LIST_RETRY_DELAY = 0.5  # s, after a list change failed to apply, until the whole list is requested
 MAX_LOGGED_REASONS = 40  # the most frequent ones, in a state line
+MAX_LOGGED_ENGINES = 40  # of each kind, in a line on a change of the endpoint list
 STATE_LOG_INTERVAL = 5.0  # s
 
 log = structlog.get_logger()
@@ -199,8 +202,28 @@
 
     def on_list_change(self, change: ListChange) -> None:
         """Hand a change of the endpoint list to the core."""
+        self.log_list_change(change)
         self.core.apply_endpoint_list(change.complete, change.entries)
 
+    def log_list_change(self, change: ListChange) -> None:
+        """Log which engines now drain, are gone, or are in slow start, with their age in s."""
+        now, warm_after = self.loop.time(), self.core.router.slow_start.warm_after
+        leaving: dict[str, str] = {}
+        cold: dict[str, float] = {}
+        for endpoint, _zone, _kind, _cell, health, _size, started in change.entries:
+            if health is not Health.ON:
+                leaving[endpoint.name] = health.value
+            elif started and now - started < warm_after:
+                cold[endpoint.name] = round(now - started, 3)
+        log.info(
+            "endpoint list",
+            version=self.endpoint_list.version,
+            complete=change.complete,
+            entries=len(change.entries),
+            leaving=dict(islice(leaving.items(), MAX_LOGGED_ENGINES)),
+            cold=dict(islice(cold.items(), MAX_LOGGED_ENGINES)),
+        )
+
     def request_list_later(self) -> None:
         """Schedule a request for the whole list: the last change was applied only in part."""
         self.loop.call_later(LIST_RETRY_DELAY, self.watch.start)
@@ -226,7 +249,8 @@
         taken: accepted requests; left: those whose client left; late: those that ran past their deadline;
         faults: decisions that raised; live: open requests; out: evicted client connections; spoilt: malformed
         answers of engines; request_bytes: memory charged to clients' requests and answers, at most
-        max_request_bytes; gate: refusals of the gate, by reason.
+        max_request_bytes; gate: refusals of the gate, by reason; cold: engines in slow start now, and
+        attempts sent to such since the process started.
         """
         tally, router = self.core.tally, self.core.router
         log.info(
@@ -246,6 +270,7 @@
             spoilt=self.link.malformed_answers,
             unreleased=self.link.failed_releases,
             engines=len(router.engines),
+            cold={"engines": router.cold_engine_count, "attempts": router.slow_start.attempts_sent},
             conns=self.link.pools.open,
             version=self.endpoint_list.version,
             lag=round(self.lag, 3),
--- a/heathford/policy/engine_state.py
+++ b/heathford/policy/engine_state.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Mapping
+from dataclasses import dataclass
 from math import exp2
 from typing import Any, Protocol
 
@@ -47,11 +48,24 @@
         table[key] = value
 
 
+@dataclass(frozen=True)
+class ColdAdmission:
+    """Why an attempt was let in to a cold engine; written to logs.
+
+    age: s since the engine's start, as this front node knows it; share: of the requests that lead there now;
+    recent_attempts: ours at the engine within the last window, with this one.
+    """
+
+    age: float
+    share: float
+    recent_attempts: int
+
+
 class Attempt:
     """One attempt of a request at one engine.
 
     uncached_tokens: prompt tokens that the engine is believed not to have in its cache. is_combined: prefill
-    and decode are both done at this engine.
+    and decode are both done at this engine. cold_admission: None where the engine was warm.
     """
 
     def __init__(
@@ -70,6 +84,7 @@
         self.context_tokens = engine.context_tokens(now)  # at the engine when the attempt was sent
         self.streaming_since: float = 0.0  # s on the router's clock; 0 before the first token
         self.outcome: Outcome | None = None
+        self.cold_admission: ColdAdmission | None = None
         self.slow_transfer = False  # part of its bytes arrived, the rest did not in the time allowed
 
 
--- a/heathford/policy/router.py
+++ b/heathford/policy/router.py
@@ -217,6 +217,11 @@
         """
         return self.recent_requests > ADMISSION_RATIO * self.recent_in_time + ADMISSION_ALLOWANCE
 
+    @property
+    def cold_engine_count(self) -> int:
+        """The number of listed engines that are in slow start."""
+        return sum(map(self.slow_start.is_cold, self.engines.values()))
+
     @property
     def prefills_per_answer(self) -> float:
         """Recent prefills sent for each one that was answered."""
@@ -501,7 +506,7 @@
         request.current_attempt = attempt
         engine.in_flight.append(attempt)
         if self.slow_start.is_cold(engine):
-            engine.cold_attempts.append(now)
+            attempt.cold_admission = self.slow_start.record_attempt(engine, self.prefills_per_answer)
         if request.state_engine and not is_prefill:
             request.release_at = release_time(request.held_since, self.pin_limit)
             self.pending_releases.add(request, now)
--- a/heathford/policy/slow_start.py
+++ b/heathford/policy/slow_start.py
@@ -8,7 +8,7 @@
 from math import inf
 
 from heathford.interface import Clock, Role
-from heathford.policy.engine_state import MAX_REMEMBERED, Engine
+from heathford.policy.engine_state import MAX_REMEMBERED, ColdAdmission, Engine
 from heathford.policy.estimators import MIN_ANSWERS
 from heathford.policy.placement import POINTS_PER_ENGINE, Ring, hash_16
 
@@ -28,6 +28,7 @@
     def __init__(self, clock: Clock, warm_after: float, window: float, cold_share: float) -> None:
         self.clock, self.warm_after, self.window = clock, warm_after, window
         self.cold_share = cold_share
+        self.attempts_sent = 0  # at cold engines, since this process started
         self.answers: deque[tuple[float, Engine]] = deque(maxlen=MAX_REMEMBERED)  # when, and of which engine
         self.recent_keys: deque[str] = deque(maxlen=MAX_RECENT_KEYS)  # placement keys of recent requests
         self.set_engines({}, {})
@@ -55,7 +56,7 @@
         """
         window = int(self.clock.now / self.window)
         fraction = hash_16(f"{engine.number}:{window}:{session}") / 65536
-        if fraction >= self.cold_share * min(1.0, 1.0 / prefills_per_answer, 1.0 / self.popularity(engine)):
+        if fraction >= self.admitted_share(engine, prefills_per_answer):
             return False
         per_engine, in_total = self.budgets_for(engine.kind.role)
         cold = [e for e in self.pools[engine.kind.role] if e.cold_attempts and self.is_cold(e)]
@@ -63,6 +64,20 @@
             map(self.recent_cold_attempts, cold)
         ) < max(1.0, in_total)
 
+    def admitted_share(self, engine: Engine, prefills_per_answer: float) -> float:
+        """Return the share of the requests that lead to a cold engine which may go there."""
+        return self.cold_share * min(1.0, 1.0 / prefills_per_answer, 1.0 / self.popularity(engine))
+
+    def record_attempt(self, engine: Engine, prefills_per_answer: float) -> ColdAdmission:
+        """Record an attempt that is sent to a cold engine now, and return why it was let in."""
+        engine.cold_attempts.append(self.clock.now)
+        self.attempts_sent += 1
+        return ColdAdmission(
+            self.clock.now - engine.started,
+            self.admitted_share(engine, prefills_per_answer),
+            self.recent_cold_attempts(engine),
+        )
+
     def admits_second_choice(self, engine: Engine, session: str) -> bool:
         """Return whether a cold engine may be used as the second choice of a request.
 
--- a/tests/node_processes.py
+++ b/tests/node_processes.py
@@ -26,10 +26,13 @@
 
 @asynccontextmanager
 async def node_process(
-    folder: Path, *arguments: str, listen: str = "127.0.0.1:0"
+    folder: Path, *arguments: str, listen: str = "127.0.0.1:0", agent: DiscoveryAgent | None = None
 ) -> AsyncIterator[asyncio.subprocess.Process]:
-    """Start a front node with an agent and a configuration of its own; kill it at the end if it runs."""
-    agent = DiscoveryAgent()
+    """Start a front node with an agent and a configuration of its own; kill it at the end if it runs.
+
+    agent: one that is not open yet; a new one without engines if None.
+    """
+    agent = agent or DiscoveryAgent()
     address = await agent.open()
     path = folder / "config.json"
     write_configuration(path, address)
