Gate: an attempt decided for an engine's earlier process is not sent to its next one

What engines saw: a cold engine gets requests beside its budget. An attempt that waits for its connection or for a release while its engine is replaced was sent to the new process, which the front node had not let it in to: it counted against no budget. The gate looked whether the engine is on the list, not whether it is still the process that the attempt was decided for.

Evidence: a core on a manual clock, engine listed with a new start while the attempt waits, with and without a removal between, prefill and decode: sent in 4 of 4 before, in none now. The attempt ends as unsent and is decided anew. Its share in the reported failure is not known: the connect time-out bounds the wait for a connection to 0.25 s there, a release may take longer.

--- a/heathford/core/engine_attempt.py
+++ b/heathford/core/engine_attempt.py
@@ -48,8 +48,9 @@
         """Decide right before the first byte leaves whether the attempt may still be sent.
 
         While it waited for a connection or a release, its client may have disconnected, its engine may have
-        begun to drain, or the time in which the engines know its idempotency key may have ended. The end of
-        the client's connection may be unread yet: behind pipelined data, or because the loop is busy.
+        begun to drain or restarted, or the time in which the engines know its idempotency key may have ended.
+        The end of the client's connection may be unread yet: behind pipelined data, or because the loop is
+        busy.
         """
         core, request = self.request.core, self.request
         if self.over or request.over:
--- a/heathford/core/gate.py
+++ b/heathford/core/gate.py
@@ -78,7 +78,6 @@
     (Stage.LEFT, Event.ENDED): Stage.LEFT,
 }
 # The rule that an event breaks where the table above doesn't allow it.
-# The rule that an event breaks where the table above doesn't allow it.
 RULE_OF_EVENT = {
     Event.HANDED_OVER: Rule.NO_EFFECT_TWICE,
     Event.SENT: Rule.NO_EFFECT_TWICE,
@@ -100,6 +99,7 @@
     WINDOW_OVER = "the window for repeats is over"
     OUTSIDE_GROUP = "the engine does not know the repeat"
     ENGINE_LEAVES = "the engine drains or is gone"
+    ENGINE_RESTARTED = "the engine has restarted since the attempt was decided"
     ANSWER_OWED = "an answer is owed on the connection"
     UNREAD = "something unread lies on the connection"
     ENDING = "the process ends"
@@ -112,6 +112,7 @@
     health: Health
     zone: int
     cell: int
+    started: float  # s on the loop's clock; 0: long ago
 
 
 @dataclass
@@ -121,6 +122,7 @@
     health: Health
     zone: int
     cell: int
+    started: float = 0.0
 
 
 NOT_LISTED = FixedTarget(Health.REMOVED, -1, -1)
@@ -128,12 +130,20 @@
 
 @dataclass(slots=True)
 class GateAttempt:
-    """What the gate knows of one attempt. sent_at: s on the loop's clock; outcome: None while in flight."""
+    """What the gate knows of one attempt.
+
+    sent_at: s on the loop's clock; outcome: None while in flight; engine_started: the start of the engine's
+    process for which the attempt was decided, s on the loop's clock.
+    """
 
     target: Target
     is_prefill: bool
     sent_at: float
     outcome: Outcome | None = None
+    engine_started: float = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.engine_started = self.target.started
 
     @property
     def may_have_run(self) -> bool:
@@ -208,6 +218,8 @@
             return self.refuse(Reason.ANOTHER_OUT)
         if target.health is not Health.ON:
             return self.refuse(Reason.ENGINE_LEAVES)
+        if target.started != attempt.engine_started:
+            return self.refuse(Reason.ENGINE_RESTARTED)
         if not attempt.is_prefill:
             return self.may_repeat(lifecycle, attempt, target, now)
         return Reason.ALLOWED
