--- a/tests/policy_fleet.py
+++ b/tests/policy_fleet.py
@@ -41,6 +41,7 @@
     def __init__(self, fleet: "SimulatedFleet", front: "SimulatedFrontNode") -> None:
         self.fleet, self.front, self.attempts = fleet, front, 0
         self.state: RequestState | None = None
+        self.prompt = "", "", 0  # session, shared prefix, length in tokens
 
     def send(self, engine: int, timeout: float) -> None:
         self.fleet.simulate_attempt(self, self.attempts, engine, timeout)
@@ -72,7 +73,7 @@
             fleet.workloads,
             self.number,
             fleet.fronts,
-            0,
+            fleet.zone_of_front(self.number),
             4,
             0.5,
             True,
@@ -91,7 +92,10 @@
         self.router.begin_list_update(complete)
         for engine in engines:
             kind = engine % len(self.fleet.kinds)
-            self.router.update_engine(engine, 0, kind, engine % 4, Health.ON, 1.0, self.fleet.started[engine])
+            zone, cell = self.fleet.place_of(engine)
+            self.router.update_engine(
+                engine, zone, kind, cell, self.fleet.health[engine], 1.0, self.fleet.started[engine]
+            )
         self.router.end_list_update()
 
     def wake(self, after: float) -> None:
@@ -114,25 +118,42 @@
         capacity: float = CAPACITY,
         duration: float = DURATION,
         restarted: float = RESTARTED_SHARE,
+        engines: int = ENGINES,
     ) -> None:
         self.random, self.now, self.fronts, self.kinds = Random(seed), START_TIME, fronts, kinds
         self.capacity, self.restarted = capacity, restarted
         self.workloads = [Workload(1.0, 0.0, 0.05, Effect.IDEMPOTENT, Group.ALL, 2.0, 1.0)]
         self.set_workloads()
         self.event_count, self.schedule = count(), list[tuple[float, int, Callable[[], None]]]()
-        self.started = dict.fromkeys(range(1, ENGINES + 1), 0.0)
+        self.started = dict.fromkeys(range(1, engines + 1), 0.0)
+        self.health = dict.fromkeys(self.started, Health.ON)
         self.cold = list(self.started)[:cold]
         self.busy_until: dict[int, float] = defaultdict(float)
         self.attempts_by_engine: dict[int, list[float]] = defaultdict(list)
         self.nodes = [SimulatedFrontNode(self, number) for number in range(fronts)]
+        self.schedule_day(duration)
+
+    def schedule_day(self, duration: float) -> None:
+        """Schedule the restart of the cold engines and all requests; a subclass may play another day."""
         self.at(COLD_AT, self.restart_engines_cold)
         at = START_TIME
         while at < START_TIME + duration:
             bursting = COLD_AT < at < COLD_AT + BURST_SECONDS
-            rate = ENGINES * capacity / len(kinds) * LOAD * (BURST_RATIO if bursting else 1.0)
+            rate = ENGINES * self.capacity / len(self.kinds) * LOAD * (BURST_RATIO if bursting else 1.0)
             at += self.random.expovariate(rate)
             self.at(at, self.send_request)
 
+    def zone_of_front(self, number: int) -> int:
+        return 0
+
+    def place_of(self, engine: int) -> tuple[int, int]:
+        """Return an engine's zone and cell."""
+        return 0, engine % 4
+
+    def choose_node(self) -> SimulatedFrontNode:
+        """Return the front node that gets the next request."""
+        return self.random.choice(self.nodes)
+
     def set_workloads(self) -> None:
         """Set other workloads in a subclass; called before any front node starts."""
 
@@ -153,18 +174,26 @@
             else:
                 node.apply_endpoint_list(False, self.cold)
 
+    def new_request(self, node: SimulatedFrontNode) -> SimulatedRequest:
+        return SimulatedRequest(self, node)
+
     def send_request(self) -> None:
-        node = self.random.choice(self.nodes)
-        request = SimulatedRequest(self, node)
+        node = self.choose_node()
+        request = self.new_request(node)
         popularity = [1 / (prefix + 1) for prefix in range(SHARED_PREFIXES)]
         prefix = self.random.choices(range(SHARED_PREFIXES), popularity)[0]
         shared = str(prefix) if self.random.random() < SHARED_SHARE else ""
         prompt = self.random.choice((300, 1500, 3000, 6000))
-        session = str(self.random.random())
-        request.state = node.router.accept(
+        request.prompt = str(self.random.random()), shared, prompt
+        self.accept(request)
+
+    def accept(self, request: SimulatedRequest) -> None:
+        """Give a request to its front node."""
+        (session, shared, prompt), router = request.prompt, request.front.router
+        request.state = router.accept(
             request, 0, 0, session, shared, prompt, prompt // 2 if shared else 0, 100, 0.0, self.now + 4.0
         )
-        node.router.decide()
+        router.decide()
 
     def simulate_attempt(self, request: SimulatedRequest, attempt: int, engine: int, timeout: float) -> None:
         """Schedule how an attempt ends: its engine serves one at a time, more slowly while it is cold."""
@@ -173,6 +202,9 @@
         capacity = self.capacity * (COLD_FROM + (1 - COLD_FROM) * warm)
         self.busy_until[engine] = max(self.now, self.busy_until[engine]) + 1 / capacity
         latency = self.busy_until[engine] - self.now + 0.05
+        if self.health[engine] is Health.REMOVED:
+            self.end_later(0.001, request, attempt, Outcome.UNREACHABLE)
+            return
         role = self.kinds[engine % len(self.kinds)].role
         if latency >= timeout:
             self.end_later(timeout, request, attempt, Outcome.TIMED_OUT)
