Slow start: the fleet's sum follows what warm engines answer, in each zone and on each ring

What engines saw: a cold engine gets more than its budget from front nodes that know of its start.

Cause: each front node let in a share of what leads to the engine, corrected by how often its keys lead there on the ring of its own zone. Requests of other zones whose own engines are busy take the ring of all zones, and writers no ring at all: for them the count was next to zero and the full share of 0.6 came in. On its own ring the share was of what leads to an engine of that ring, which is several engines' load where its neighbours are gone. Nothing absolute bounds this in a large fleet. Class of the fault: admission by a share of the offered load (open loop) where the limit is a rate.

Now the share is what a warm engine of the role and zone answers for each request that looks for one, over the last 20 requests and over the last window, divided by the part of the keys that leads there on either ring. Waiting requests draw by their own time, not all at once as a window begins or an engine is listed. Decode engines take their part straight from the states in their zone.

Two tests of test_policy.py set the count of prefills by hand, which no longer decides; they now give the front node the requests and answers themselves. Their bounds are as before.

--- a/heathford/policy/__init__.py
+++ b/heathford/policy/__init__.py
@@ -9,8 +9,8 @@
 limits on attempts in flight; prefill engines by consistent hashing; decode engines near the prefill engine,
 chosen after the prefill. Six mechanisms complete it:
 1. ramp-up: an engine after a failure or a start gets one attempt, then twice as many while it goes well
-2. slow start: of the requests that lead to a cold engine all front nodes admit the same share, less of
-   popular prompts
+2. slow start: all front nodes together send a cold engine a share of what a warm engine answers, however
+   many requests lead there
 3. cooldowns: an engine that is slow, silent or refuses work gets nothing for a while, longer each time in a
    row
 4. capacity: reported memory, slots and queue tell which engine can take one more; other requests wait
--- a/heathford/policy/engine_state.py
+++ b/heathford/policy/engine_state.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
-from math import exp2
+from math import exp2, inf
 from typing import Any, Protocol
 
 from heathford.interface import EngineKind, Health, Outcome
@@ -101,6 +101,7 @@
     def reset(self, started: float) -> None:
         """Forget all that belonged to an earlier process of this engine."""
         self.started = started
+        self.listed_at = -inf  # when this process of it was first listed to us
         self.in_flight: list[Attempt] = []
         self.cached: dict[str, int] = {}  # tokens in the engine's prefix cache, by session or shared prefix
         self.load: Mapping[str, float] = {}  # the last load report
--- a/heathford/policy/request_state.py
+++ b/heathford/policy/request_state.py
@@ -109,6 +109,8 @@
         # over: its stream has begun, its final answer is given, or its client has left.
         # deferred: it could not be placed and is tried again with the next scan.
         self.held_since, self.over, self.deferred = 0.0, False, False
+        # When it last drew for cold engines, and at which number of attempts and window since its acceptance.
+        self.accepted_at, self.drawn_at, self.last_draw = now, now, (-1, -1)
         self.give_up_reason: GiveUpReason | None = None
         self.release_at = inf  # when its state is released although an attempt is in flight
         self.was_released = False  # a state was, which an attempt in flight may have kept and leave held
--- a/heathford/policy/router.py
+++ b/heathford/policy/router.py
@@ -88,14 +88,15 @@
         self.read_in_place, self.keyed_repeats = read_in_place, keyed_repeats
         self.transfers = transfers or TransferRates()
         cold_share = COLD_BUDGET_SHARE * cold_from * cold_multiple
-        self.slow_start = SlowStart(clock, warm_after, max(cold_window, SCAN_INTERVAL), cold_share)
-        self.answers = self.slow_start.answers
+        self.slow_start = SlowStart(clock, warm_after, max(cold_window, SCAN_INTERVAL), cold_share, zone)
+        self.answers = self.slow_start.traffic.answers
         self.engines: dict[int, Engine] = {}
         self.listed: dict[int, None] = {}
         self.list_received = False  # with any engine, ever
         self.end_list_update()
         self.prefill_fit, self.combined_fit = LatencyFit(2), LatencyFit(3)
         self.last_combined: dict[str, Engine] = {}  # by session
+        self.new_keys: list[str] = []  # placement keys of requests accepted since the last decision
         self.waiting: list[RequestState] = []  # requests without an attempt in flight
         self.pending_releases = PendingReleases(actions.wake)
         self.wake_at, self.last_scan_at, self.subscribe_at = -inf, -inf, clock.now if subscribe else inf
@@ -120,8 +121,10 @@
             if engine:  # another machine under a known number: attempts in flight at the old one end there
                 engine.health = Health.REMOVED
             engine = self.engines[number] = Engine(number, zone, cell, self.kinds[kind], size, started)
+            engine.listed_at = self.clock.now
         if engine.started != started:
             engine.reset(started)
+            engine.listed_at = self.clock.now
         engine.health = health
         if self.slow_start.is_cold(engine) and not engine.ramp_limit:
             engine.ramp_limit = 1
@@ -204,7 +207,7 @@
             > ADMISSION_RATIO * self.recent_in_time + ADMISSION_ALLOWANCE
         ):
             request.latest_start = -inf  # shed at random, in proportion to the overload
-        self.slow_start.recent_keys.append(request.placement_key)
+        self.new_keys.append(request.placement_key)
         self.waiting.append(request)
         return request
 
@@ -256,6 +259,10 @@
             elif not self.try_place(request):
                 self.waiting.append(request)
                 request.deferred = fresh
+        # Only now: a request's own key says nothing of how many others lead where it does.
+        self.slow_start.recent_keys.extend(self.new_keys)
+        self.new_keys.clear()
+        self.slow_start.traffic.end_decision()
         if self.waiting and now >= self.wake_at:
             self.wake_at = now + SCAN_INTERVAL / 2
             self.actions.wake(SCAN_INTERVAL)
@@ -310,6 +317,7 @@
     def try_place(self, request: RequestState) -> bool:
         """Send the next attempt of a request if some engine can take it now; return whether one was sent."""
         now, attempts_left = self.clock.now, self.try_limit - len(request.attempts)
+        self.record_draw(request, now)
         if request.state_engine:
             return self.place_decode(request, request.state_engine, now)
         combined = self.pick_combined_engine(request)
@@ -330,6 +338,18 @@
             self.send(request, prefill, True)
         return bool(prefill)
 
+    def record_draw(self, request: RequestState, now: float) -> None:
+        """Record that a request looks for an engine, if its last draw is over.
+
+        It draws at its first look for each attempt, then once a window from its acceptance on. Guards against
+        waiting requests that all draw at one moment: where windows begin for all, or as an engine is listed.
+        """
+        drawn = len(request.attempts), int((now - request.accepted_at) / self.slow_start.window)
+        if request.last_draw == drawn:
+            return
+        request.last_draw, request.drawn_at = drawn, now
+        self.slow_start.traffic.record_draw(request.state_engine.zone if request.state_engine else None)
+
     def decode_engine_reachable(self, request: RequestState) -> bool:
         """Return whether some decode engine can have the prompt before a new state must be released."""
         release_at = self.state_release_time(request)
@@ -403,9 +423,9 @@
         usable = partial(self.usable, request=request)
         for ring in self.rings[role]:
             picked = [ring.pick(f"{seed}:{request.placement_key}", usable) for seed in (1, 2)]
+            if picked[1] and not self.slow_start.admits_second_choice(picked[1], request.session):
+                picked = picked[:1]
             available = [e for e in picked if e and is_available(e)]
-            if len(available) > 1 and not self.slow_start.admits_second_choice(available[1], request.session):
-                return available[0]
             if available:
                 return min(available, key=lambda e: e.load_tokens)
         return None
@@ -448,6 +468,10 @@
             and self.can_reach_in_time(request, e, release_at)
         ]
         in_zone = [e for e in eligible if e.zone == state_engine.zone]
+        cold = [e for e in in_zone if self.slow_start.is_cold(e) and self.has_capacity(e, request)]
+        if cold:  # one that has admitted the request: few are, so that others do not compete for it
+            self.send(request, min(cold, key=lambda e: e.load_tokens), False)
+            return True
         # Guards against full engines in the cell, which each of many front nodes rarely finds slow itself.
         healthy = [e for e in in_zone if now >= e.cooldowns.get(None, (-inf, 0.0))[0] + MAX_COOLDOWN]
         healthy_in_cell, in_cell = (
@@ -479,8 +503,7 @@
             within_ramp_limit
             and engine.health is Health.ON
             and (
-                not slow_start.is_cold(engine)
-                or slow_start.admits(engine, request.session, self.prefills_per_answer)
+                not slow_start.is_cold(engine) or slow_start.admits(engine, request.session, request.drawn_at)
             )
         )
 
@@ -502,11 +525,13 @@
             engine.record_cached(request)
             remember(self.last_combined, request.session, engine)
         self.recent_prefills += is_prefill or attempt.is_combined
+        if is_prefill or attempt.is_combined:
+            self.slow_start.traffic.record_prompt_attempt(engine.kind.role)
         request.attempts.append(attempt)
         request.current_attempt = attempt
         engine.in_flight.append(attempt)
         if self.slow_start.is_cold(engine):
-            attempt.cold_admission = self.slow_start.record_attempt(engine, self.prefills_per_answer)
+            attempt.cold_admission = self.slow_start.record_attempt(engine)
         if request.state_engine and not is_prefill:
             request.release_at = release_time(request.held_since, self.pin_limit)
             self.pending_releases.add(request, now)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -417,9 +417,10 @@
         for i in range(int(-10 * per_second), int(8 * per_second) + 1):
             at = start + (i + number / fronts) / per_second
             if at >= start:
-                harness.now, request.session = at, f"{number}-{i}"
+                harness.now, request.session, request.drawn_at = at, f"{number}-{i}", at
                 if harness.router.usable(engine, request):
                     engine.cold_attempts.append(at)
+            harness.router.slow_start.traffic.prompt_draws.extend([at] * 3)  # one leads to each engine
             harness.router.answers.extend((at, harness.router.engines[e]) for e in (11, 12))
         sends += engine.cold_attempts
     for second in range(1, 6):
@@ -436,7 +437,10 @@
     harness = router_harness(fronts=200)
     harness.engines((11, 0), (13, 1), (20, 0))
     request = harness.submit()
-    harness.router.recent_prefills, harness.router.recent_prefill_answers = 40.0, 40.0 * answered
+    traffic, half = harness.router.slow_start.traffic, 100
+    traffic.prompt_draws.extend([harness.now] * 2 * half)  # half of them lead to each prefill engine
+    warm = harness.router.engines[11]
+    traffic.answers.extend([(harness.now, warm)] * int(half * answered))
     harness.engines((20, 0), started=harness.now)
     harness.router.slow_start.recent_keys.extend(keys_for_each_engine(harness.router, Role.PREFILL))
     engine = harness.router.engines[20]
