--- a/tests/test_slow_start_zones.py
+++ b/tests/test_slow_start_zones.py
@@ -21,6 +21,7 @@
         ("three replaced", "three roles", LARGE_FLEET, 30.0, 3.0),
         ("half a zone back", "separate", 30, 10.0, 3.0),
         ("zone back", "combined", 5, 10.0, 3.0),
+        ("all replaced at once", "combined", LARGE_FLEET, 8.0, 3.0),
         ("half a zone back", "separate", 1, 30.0, 3.0),
     ],
 )
--- a/tests/zoned_fleet.py
+++ b/tests/zoned_fleet.py
@@ -51,6 +51,7 @@
 OUTAGES = {
     "zone back": Outage(ZONE, ZONE),
     "half a zone back": Outage(ZONE, ZONE[1::4] + ZONE[2::4]),
+    "all replaced at once": Outage(tuple(range(1, ENGINES + 1)), tuple(range(1, ENGINES + 1))),
     "three replaced": Outage(ZONE[:3], ZONE[:3]),
     "one prefill engine of a zone back": Outage(ZONE, ZONE[1:2]),
     "one decode engine of a zone back": Outage(ZONE, ZONE[:1]),
