Slow start: a cold decode engine takes no states of other zones while their zone has decode engines

Related path of the zone fault: the part of a cold decode engine is measured by the states in its zone. States of other zones that found no engine with capacity at home drew for it too, by a count of next to nothing.

A cold decode engine in a zone without prefill engines gets nothing until it counts as warm.

--- a/heathford/policy/router.py
+++ b/heathford/policy/router.py
@@ -468,6 +468,11 @@
             and self.can_reach_in_time(request, e, release_at)
         ]
         in_zone = [e for e in eligible if e.zone == state_engine.zone]
+        if any(e.zone == state_engine.zone for e in self.decode_engines):
+            # Guards a cold engine, whose part is measured by its zone's states, against those of other zones.
+            eligible = in_zone + [
+                e for e in eligible if e.zone != state_engine.zone and not self.slow_start.is_cold(e)
+            ]
         cold = [e for e in in_zone if self.slow_start.is_cold(e) and self.has_capacity(e, request)]
         if cold:  # one that has admitted the request: few are, so that others do not compete for it
             self.send(request, min(cold, key=lambda e: e.load_tokens), False)
--- a/tests/test_slow_start_zones.py
+++ b/tests/test_slow_start_zones.py
@@ -17,6 +17,7 @@
         ("half a zone back", "separate", LARGE_FLEET, 3.0, 1.5),
         ("one prefill engine of a zone back", "separate", LARGE_FLEET, 30.0, 3.0),
         ("one decode engine of a zone back", "separate", LARGE_FLEET, 30.0, 3.0),
+        ("half a zone back", "few decode engines", LARGE_FLEET, 30.0, 2.0),
         ("half a zone back", "combined", LARGE_FLEET, 8.0, 3.0),
         ("three replaced", "three roles", LARGE_FLEET, 30.0, 3.0),
         ("half a zone back", "separate", 30, 10.0, 3.0),
--- a/tests/zoned_fleet.py
+++ b/tests/zoned_fleet.py
@@ -36,6 +36,11 @@
     "combined": [EngineKind(Role.COMBINED, 0)],
     "separate": [EngineKind(Role.PREFILL, 0), EngineKind(Role.DECODE, 0)],
     "three roles": [EngineKind(role, 0) for role in Role],
+    "few decode engines": [
+        EngineKind(Role.PREFILL, 0),
+        EngineKind(Role.DECODE, 0),
+        EngineKind(Role.PREFILL, 0),
+    ],
 }
 
 
