--- a/heathford/policy/recent_traffic.py
+++ b/heathford/policy/recent_traffic.py
@@ -9,7 +9,7 @@
 from heathford.policy.engine_state import MAX_REMEMBERED, Engine
 
 ENOUGH_DRAWS = 20  # draws that tell a rate well enough; a shorter time is then looked at
-ASSUMED_DRAWS = 4.0  # draws that count beside those seen: the last ones can have no answer yet
+ASSUMED_DRAWS = 3.0  # draws that count beside those seen: the last ones can have no answer yet
 
 Kind = TypeVar("Kind")
 
@@ -81,17 +81,14 @@
         """Return the answers of these engines for each of the draws, of which a share is counted.
 
         The lower of two figures, of the recent time and of its last part: load that has just risen is seen by
-        the second, before there are answers to it. Neither stands on a few draws alone: in the first, what is
-        expected counts as ASSUMED_DRAWS draws, in the second the first figure does.
+        the second, before there are answers to it. `expected` counts as ASSUMED_DRAWS draws in each.
         """
-
-        def figure(since: float, assumed: float) -> float:
+        figures = []
+        for since in dict.fromkeys((self.begin(draws), self.clock.now - self.shortest)):
             drawn = counted_share * count_since(draws, since)
             answered = sum(engine in engines for _, engine in since_then(self.answers, since))
-            return (ASSUMED_DRAWS * assumed + answered) / (ASSUMED_DRAWS + drawn)
-
-        recent = figure(self.begin(draws), expected)
-        return min(recent, figure(self.clock.now - self.shortest, recent))
+            figures.append((ASSUMED_DRAWS * expected + answered) / (ASSUMED_DRAWS + drawn))
+        return min(figures)
 
     def begin(self, draws: deque[float]) -> float:
         """Return from when on these draws and their answers are counted."""
--- a/heathford/policy/slow_start.py
+++ b/heathford/policy/slow_start.py
@@ -75,7 +75,10 @@
     def admitted_share(self, engine: Engine) -> float:
         """Return the share of the requests that lead to a cold engine which may go there."""
         share = self.share_of_all(engine.kind.role, engine.zone)
-        return share if engine.kind.role is Role.DECODE else min(1.0, share / self.led_share(engine))
+        if engine.kind.role is Role.DECODE:
+            return share
+        # Guards against a prompt that becomes popular: none of the keys tells it yet.
+        return min(1.0, self.cold_share, share / self.led_share(engine))
 
     def share_of_all(self, role: Role, zone: int) -> float:
         """Return the share of this front node's requests that may go to one cold engine of a role and zone.
