Slow start: a cold combined engine takes no states while another decode engine is warm

Cause: states are placed on decode and combined engines, and cold ones that admit a state take it straight. A combined engine's part is worked out for the prompts that lead to it on a ring; of the states, all of the zone lead there.

The test failed before (states at the cold combined engine 13).

--- a/heathford/policy/router.py
+++ b/heathford/policy/router.py
@@ -467,13 +467,17 @@
             and request.may_go_to(e, now)
             and self.can_reach_in_time(request, e, release_at)
         ]
+        is_cold = self.slow_start.is_cold
+        if not all(map(is_cold, self.decode_engines)):
+            # Guards a cold combined engine: its part is measured by the prompts that lead to it.
+            eligible = [e for e in eligible if e.kind.role is Role.DECODE or not is_cold(e)]
         in_zone = [e for e in eligible if e.zone == state_engine.zone]
         if any(e.zone == state_engine.zone for e in self.decode_engines):
             # Guards a cold engine, whose part is measured by its zone's states, against those of other zones.
-            eligible = in_zone + [
-                e for e in eligible if e.zone != state_engine.zone and not self.slow_start.is_cold(e)
-            ]
-        cold = [e for e in in_zone if self.slow_start.is_cold(e) and self.has_capacity(e, request)]
+            eligible = in_zone + [e for e in eligible if e.zone != state_engine.zone and not is_cold(e)]
+        cold = [
+            e for e in in_zone if e.kind.role is Role.DECODE and is_cold(e) and self.has_capacity(e, request)
+        ]
         if cold:  # one that has admitted the request: few are, so that others do not compete for it
             self.send(request, min(cold, key=lambda e: e.load_tokens), False)
             return True
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -451,6 +451,24 @@
     assert least * 1000 <= admitted <= most * 1000
 
 
+def test_a_cold_combined_engine_takes_no_states_while_another_decode_engine_is_warm(
+    router_harness: New,
+) -> None:
+    """Guards against states of a whole zone that take one cold combined engine: it got 26 in a window."""
+    harness = router_harness()
+    harness.engines((11, 0), (12, 1))
+    harness.engines((13, 2), started=harness.now)
+    decode_engines = set()
+    for i in range(40):
+        request = harness.submit(session=str(i))
+        if request.current_attempt and request.current_attempt.is_prefill:
+            harness.end_attempt(request, Outcome.PREFILLED)
+            if len(request.attempts) > 1:  # else it waits for an engine with capacity
+                decode_engines.add(request.attempts[1].engine.number)
+                harness.receive_first_token(request)
+    assert decode_engines == {12}
+
+
 def test_a_session_that_is_not_admitted_at_once_may_be_later(router_harness: New) -> None:
     """Guards against sessions that a cold engine would never admit where there is no other engine."""
     harness = router_harness(workloads=[Workload(20.0, 0.0, 0.05, IDEMPOTENT, Group.ALL, 2.0, 1.0)])
