Policy: placing a state reads in one place, and no counts that nothing looks at

Read once more: place_decode had grown three filters of the same list; they are one function with its rule in its docstring. Keys and draws of a decision are counted by one call of slow start, in place of two copies of the same deferred list. The ring of decode engines, whose counts nothing reads, and the ring of all zones where it is that of the own zone are not counted any more. A branch that could not be taken is gone.

--- a/heathford/policy/recent_traffic.py
+++ b/heathford/policy/recent_traffic.py
@@ -46,7 +46,7 @@
         self.new_draws.append(state_zone)
 
     def end_decision(self) -> None:
-        """Count the draws of a decision: only now, as a request's own one says nothing of the others."""
+        """Count the draws of a decision."""
         for zone in self.new_draws:
             if zone is None:
                 self.prompt_draws.append(self.clock.now)
--- a/heathford/policy/router.py
+++ b/heathford/policy/router.py
@@ -96,7 +96,6 @@
         self.end_list_update()
         self.prefill_fit, self.combined_fit = LatencyFit(2), LatencyFit(3)
         self.last_combined: dict[str, Engine] = {}  # by session
-        self.new_keys: list[str] = []  # placement keys of requests accepted since the last decision
         self.waiting: list[RequestState] = []  # requests without an attempt in flight
         self.pending_releases = PendingReleases(actions.wake)
         self.wake_at, self.last_scan_at, self.subscribe_at = -inf, -inf, clock.now if subscribe else inf
@@ -207,7 +206,7 @@
             > ADMISSION_RATIO * self.recent_in_time + ADMISSION_ALLOWANCE
         ):
             request.latest_start = -inf  # shed at random, in proportion to the overload
-        self.new_keys.append(request.placement_key)
+        self.slow_start.new_keys.append(request.placement_key)
         self.waiting.append(request)
         return request
 
@@ -259,10 +258,7 @@
             elif not self.try_place(request):
                 self.waiting.append(request)
                 request.deferred = fresh
-        # Only now: a request's own key says nothing of how many others lead where it does.
-        self.slow_start.recent_keys.extend(self.new_keys)
-        self.new_keys.clear()
-        self.slow_start.traffic.end_decision()
+        self.slow_start.end_decision()
         if self.waiting and now >= self.wake_at:
             self.wake_at = now + SCAN_INTERVAL / 2
             self.actions.wake(SCAN_INTERVAL)
@@ -459,24 +455,12 @@
 
     def place_decode(self, request: RequestState, state_engine: Engine, now: float) -> bool:
         """Send a decode attempt, near the engine that holds the state; return whether one was sent."""
-        release_at = self.state_release_time(request)
-        eligible = [
-            e
-            for e in self.decode_engines
-            if self.usable(e, request)
-            and request.may_go_to(e, now)
-            and self.can_reach_in_time(request, e, release_at)
-        ]
-        is_cold = self.slow_start.is_cold
-        if not all(map(is_cold, self.decode_engines)):
-            # Guards a cold combined engine: its part is measured by the prompts that lead to it.
-            eligible = [e for e in eligible if e.kind.role is Role.DECODE or not is_cold(e)]
-        in_zone = [e for e in eligible if e.zone == state_engine.zone]
-        if any(e.zone == state_engine.zone for e in self.decode_engines):
-            # Guards a cold engine, whose part is measured by its zone's states, against those of other zones.
-            eligible = in_zone + [e for e in eligible if e.zone != state_engine.zone and not is_cold(e)]
+        in_zone, elsewhere = self.engines_for_state(request, state_engine, now)
+        eligible = in_zone + elsewhere
         cold = [
-            e for e in in_zone if e.kind.role is Role.DECODE and is_cold(e) and self.has_capacity(e, request)
+            e
+            for e in in_zone
+            if e.kind.role is Role.DECODE and self.slow_start.is_cold(e) and self.has_capacity(e, request)
         ]
         if cold:  # one that has admitted the request: few are, so that others do not compete for it
             self.send(request, min(cold, key=lambda e: e.load_tokens), False)
@@ -502,6 +486,40 @@
             request.release_state()
         return bool(candidates)
 
+    def engines_for_state(
+        self, request: RequestState, state_engine: Engine, now: float
+    ) -> tuple[list[Engine], list[Engine]]:
+        """Return the engines that may take a request's state: those in the state's zone, and the others.
+
+        A cold decode engine takes states of its own zone, of which its part is counted; those of other zones
+        only where they have no decode engine. A cold combined engine, whose part is counted of the prompts
+        that lead to it, takes states only while no engine for them is warm.
+        """
+        zone, release_at, is_cold = (
+            state_engine.zone,
+            self.state_release_time(request),
+            self.slow_start.is_cold,
+        )
+        any_warm = not all(map(is_cold, self.decode_engines))
+        any_in_zone = any(e.zone == zone for e in self.decode_engines)
+
+        def takes_state(engine: Engine) -> bool:
+            if not is_cold(engine):
+                return True
+            if any_warm and engine.kind.role is not Role.DECODE:
+                return False
+            return engine.zone == zone or not any_in_zone
+
+        eligible = [
+            e
+            for e in self.decode_engines
+            if self.usable(e, request)
+            and takes_state(e)
+            and request.may_go_to(e, now)
+            and self.can_reach_in_time(request, e, release_at)
+        ]
+        return [e for e in eligible if e.zone == zone], [e for e in eligible if e.zone != zone]
+
     def usable(self, engine: Engine, request: RequestState) -> bool:
         """Return whether an engine is in service, and within its ramp-up limit and its cold budget."""
         slow_start, within_ramp_limit = (
--- a/heathford/policy/slow_start.py
+++ b/heathford/policy/slow_start.py
@@ -35,6 +35,7 @@
         self.attempts_sent = 0  # at cold engines, since this process started
         self.traffic = RecentTraffic(clock, window, warm_after)
         self.recent_keys: deque[str] = deque(maxlen=MAX_RECENT_KEYS)  # placement keys of recent requests
+        self.new_keys: list[str] = []  # of requests accepted since the last decision
         self.zones: dict[int, None] = {zone: None}  # in which engines have ever been listed
         self.set_engines({}, {})
 
@@ -48,6 +49,12 @@
         # How many of the recent keys lead to each engine.
         self.picks_counted_at, self.pick_counts = -inf, dict[Engine, float]()
 
+    def end_decision(self) -> None:
+        """Count the keys and draws of a decision: only now, as a request's own say nothing of the others."""
+        self.recent_keys.extend(self.new_keys)
+        self.new_keys.clear()
+        self.traffic.end_decision()
+
     def is_cold(self, engine: Engine) -> bool:
         """Return whether it has started so recently that it may not be warm yet."""
         return engine.started != 0.0 and self.clock.now - engine.started < self.warm_after
@@ -100,16 +107,15 @@
         """
         pool = self.pools[role]
         warm = [engine for engine in pool if not self.is_cold(engine)]
-        reference = [engine for engine in warm if engine.zone == zone]
-        zones = 1
-        if warm and not reference:
+        if not warm:
+            return 1.0 / max(1, len(pool))
+        reference, zones = [engine for engine in warm if engine.zone == zone], 1
+        if not reference:
             if role is Role.DECODE or zone == self.zone:
                 zones = len(self.zones)
             elif self.rings[role][0].points:
                 return 0.0  # left to the front nodes of that zone
             reference = warm
-        if not reference:
-            return min(1.0, zones / max(1, len(pool)))
         counted, expected = dict.fromkeys(reference), len(reference) / len(pool)
         if role is Role.DECODE:
             answered = self.traffic.answered_per_state_draw(zone, counted, expected)
@@ -147,9 +153,13 @@
         """
         if self.clock.now - self.picks_counted_at >= self.window:
             self.picks_counted_at, self.pick_counts = self.clock.now, {}
-            for near, far in self.rings.values():
+            for role, (near, far) in self.rings.items():
+                if role is Role.DECODE:
+                    continue  # `admitted_share` needs no count for it
                 # Engines of the own zone are reached by its ring, the others where that zone is busy.
-                self.pick_counts |= self.count_picks(far) | self.count_picks(near)
+                if len(far.points) > len(near.points):
+                    self.pick_counts |= self.count_picks(far)
+                self.pick_counts |= self.count_picks(near)
         return self.smoothed_share(self.pick_counts.get(engine, 0.0))
 
     def smoothed_share(self, count: float) -> float:
