Tests: one count of sends in a window and one bound for all tests of slow start

Two test files had the users' bound each, and the test over real processes a count of its own beside max_in_window. Both stand in policy_fleet now.

--- a/tests/policy_fleet.py
+++ b/tests/policy_fleet.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from heapq import heappop, heappush
 from itertools import count
+from math import sqrt
 from random import Random
 
 from heathford.interface import Effect, Group, Health, EngineKind, Role, Outcome, Workload
@@ -229,3 +230,18 @@
 
     def cold_attempts(self, engine: int) -> list[float]:
         return [at for at in self.attempts_by_engine[engine] if COLD_AT <= at < COLD_AT + WARM_AFTER]
+
+
+def allowed(budget: float) -> float:
+    """Return what the users allow for a budget of so many attempts: the excess allows for chance."""
+    return budget + (3 * sqrt(budget) + 3 if budget < 30 else 2 * sqrt(budget) + 2)
+
+
+def max_in_window(times: list[float], window: float) -> int:
+    """Return the largest number of these times in any window of that length."""
+    most = first = 0
+    for last, at in enumerate(times):
+        while times[first] <= at - window:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
--- a/tests/test_cold_engines_processes.py
+++ b/tests/test_cold_engines_processes.py
@@ -18,7 +18,7 @@
 
 import orjson
 from node_processes import PLATFORM_COMMAND
-from zoned_fleet import allowed
+from policy_fleet import allowed, max_in_window
 
 from heathford.child_signals import send_signal
 from heathford.standin.platform import (
@@ -79,12 +79,6 @@
         await asyncio.sleep(self.busy_until - now)
         writer.write(PREFILL_RESPONSE if self.is_prefill else DECODE_RESPONSE)
 
-    def most_in_window(self) -> int:
-        """Return the most requests that arrived in any window since its start."""
-        return max(
-            (sum(at <= other < at + WINDOW for other in self.arrivals) for at in self.arrivals), default=0
-        )
-
 
 @dataclass
 class FrontProcess:
@@ -220,6 +214,6 @@
 ) -> None:
     """Guards against front nodes whose attempts at a cold engine follow the load that clients offer."""
     back = asyncio.run(asyncio.wait_for(play_return_of_one_engine(tmp_path), 60.0))
-    most = [engine.most_in_window() for engine in back]
+    most = [max_in_window(engine.arrivals, WINDOW) for engine in back]
     assert all(count <= allowed(BUDGET) for count in most), f"{most}, {allowed(BUDGET):.1f} are allowed"
     assert all(engine.arrivals for engine in back), "an engine that gets nothing never warms up"
--- a/tests/test_slow_start_fleet.py
+++ b/tests/test_slow_start_fleet.py
@@ -15,6 +15,8 @@
     WARM_AFTER,
     WINDOW,
     SimulatedFleet,
+    allowed,
+    max_in_window,
 )
 
 LARGE_CAPACITY = 60.0  # requests per s of a warm engine, for a budget of more than 30
@@ -22,21 +24,6 @@
 MAX_ATTEMPTS = COLD_BUDGET + 2 * sqrt(COLD_BUDGET) + 2  # the excess allows for chance
 
 
-def allowed(budget: float) -> float:
-    """Return what the users allow for a budget of so many attempts: the excess allows for chance."""
-    return budget + (3 * sqrt(budget) + 3 if budget < 30 else 2 * sqrt(budget) + 2)
-
-
-def max_in_window(times: list[float], window: float) -> int:
-    """Return the largest number of these times in any window of that length."""
-    most = first = 0
-    for last, at in enumerate(times):
-        while times[first] <= at - window:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 @pytest.mark.parametrize(
     "times, most", [([], 0), ([1.0], 1), ([0.0, 0.9, 1.8], 2), ([0.0, 0.5, 0.99, 1.1], 3)]
 )
--- a/tests/zoned_fleet.py
+++ b/tests/zoned_fleet.py
@@ -6,7 +6,6 @@
 
 from dataclasses import dataclass
 from itertools import accumulate
-from math import sqrt
 
 from policy_fleet import (
     COLD_FROM,
@@ -17,6 +16,7 @@
     SimulatedFleet,
     SimulatedFrontNode,
     SimulatedRequest,
+    allowed,
 )
 
 from heathford.interface import EngineKind, Health, Role
@@ -156,8 +156,3 @@
                 end += 1
             worst = max(worst, (end - first) / allowed(self.budget_at(at)))
         return worst
-
-
-def allowed(budget: float) -> float:
-    """Return what the users allow for a budget of so many attempts: the excess allows for chance."""
-    return budget + (3 * sqrt(budget) + 3 if budget < 30 else 2 * sqrt(budget) + 2)
