Tests: one way to start a front node's process

The test over 60 processes had a copy of the start, the configuration and the wait for a log line that node_processes has.

--- a/tests/test_cold_attempts_logged.py
+++ b/tests/test_cold_attempts_logged.py
@@ -8,7 +8,7 @@
 
 import orjson
 from conftest import CoreHarness
-from node_processes import PLATFORM_COMMAND, node_process
+from node_processes import PLATFORM_COMMAND, node_process, wait_for_log
 from structlog.testing import capture_logs
 
 from heathford.standin.platform import DiscoveryAgent, ScriptedEngine
@@ -40,10 +40,7 @@
     """Guards against a timeline without the moment at which a front node learned of a start or an end."""
 
     async def next_list_line(process: asyncio.subprocess.Process) -> dict[str, Any]:
-        assert process.stderr
-        while b"endpoint list" not in (line := await process.stderr.readline()):
-            assert line, "the process has ended"
-        return dict(orjson.loads(line))
+        return dict(orjson.loads(await wait_for_log(process, b"endpoint list")))
 
     async def scenario() -> None:
         cold, warm = (ScriptedEngine(uid, "m0", True) for uid in ("s-00000001", "s-00000002"))
--- a/tests/test_cold_engines_processes.py
+++ b/tests/test_cold_engines_processes.py
@@ -5,22 +5,17 @@
 """
 
 import asyncio
-import os
 import random
-import signal
-import sys
 import time
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
 import orjson
-from node_processes import PLATFORM_COMMAND
+from node_processes import PLATFORM_COMMAND, started_node, wait_for_log, write_configuration
 from policy_fleet import allowed, max_in_window
 
-from heathford.child_signals import send_signal
 from heathford.standin.platform import (
     DECODE_RESPONSE,
     PREFILL_RESPONSE,
@@ -80,17 +75,9 @@
         writer.write(PREFILL_RESPONSE if self.is_prefill else DECODE_RESPONSE)
 
 
-@dataclass
-class FrontProcess:
-    """One front node: its process, and the address at which clients reach it."""
-
-    process: asyncio.subprocess.Process
-    port: int
-
-
 @asynccontextmanager
-async def front_process(folder: Path, number: int, discovery: str) -> AsyncIterator[FrontProcess]:
-    """Start one front node of many; kill it at the end."""
+async def front_process(folder: Path, number: int, discovery: str) -> AsyncIterator[int]:
+    """Start one front node of many and return the port at which clients reach it; kill it at the end."""
     own_settings = settings()
     own_settings |= {
         "azs": list(ZONES),
@@ -105,43 +92,16 @@
         "fallNs": int(WINDOW * SECOND),
     }
     path = folder / f"{number}.json"
-    path.write_bytes(
-        orjson.dumps(
-            {
-                "discovery": discovery,
-                "limits": {"sockets": 256},
-                "seed": 100 + number,
-                "settings": own_settings,
-            }
-        )
-    )
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        *PLATFORM_COMMAND,
-        cwd=Path(__file__).parent.parent,
-        stderr=asyncio.subprocess.PIPE,
-        env={
-            **os.environ,
-            "NODE_NAME": f"n{number}",
-            "NODE_LISTEN": "127.0.0.1:0",
-            "NODE_DISCOVERY": discovery,
-            "NODE_CONFIG": str(path),
-        },
-    )
-    assert process.stderr
-    try:
-        while b'"event": "ready"' not in (line := await process.stderr.readline()):
-            assert line, "the process has ended"
-        port = int(orjson.loads(line)["listen"].rpartition(":")[2])
+    write_configuration(path, discovery, 100 + number, own_settings)
+    async with started_node(f"n{number}", path, discovery, *PLATFORM_COMMAND) as process:
+        line = await wait_for_log(process, b'"event": "ready"')
+        assert process.stderr
         drained = asyncio.ensure_future(process.stderr.read())  # a full pipe would only cost log lines
-        yield FrontProcess(process, port)
+        yield int(orjson.loads(line)["listen"].rpartition(":")[2])
         drained.cancel()
-    finally:
-        send_signal(process, signal.SIGKILL)
-        await process.wait()
 
 
-async def send_request(front: FrontProcess, name: str, session: int) -> None:
+async def send_request(port: int, name: str, session: int) -> None:
     """Send one client's request and read the answer to its end."""
     body = b'{"model":"chat","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"x"}]}'
     head = (
@@ -150,7 +110,7 @@
         f"X-Call-Info: prompt_len=3000,max_out=8\r\nContent-Length: {len(body)}\r\n\r\n"
     )
     try:
-        reader, writer = await asyncio.open_connection("127.0.0.1", front.port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(head.encode() + body)
         await reader.read(-1)
         writer.close()
@@ -161,8 +121,8 @@
 class Traffic:
     """Clients that send at random times to all front nodes, each with a session of its own."""
 
-    def __init__(self, fronts: list[FrontProcess], seed: int) -> None:
-        self.fronts, self.random, self.tasks = fronts, random.Random(seed), set[asyncio.Task[None]]()
+    def __init__(self, ports: list[int], seed: int) -> None:
+        self.ports, self.random, self.tasks = ports, random.Random(seed), set[asyncio.Task[None]]()
 
     async def run(self, rate: float, seconds: float) -> None:
         """Send so many requests per s for that time."""
@@ -171,7 +131,7 @@
         while (due := due + self.random.expovariate(rate)) < end:
             await asyncio.sleep(max(0.0, due - loop.time()))
             name, session = f"{self.random.getrandbits(64):016x}", self.random.getrandbits(64)
-            task = asyncio.ensure_future(send_request(self.random.choice(self.fronts), name, session))
+            task = asyncio.ensure_future(send_request(self.random.choice(self.ports), name, session))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
 
@@ -187,9 +147,9 @@
         starts = (
             stack.enter_async_context(front_process(folder, number, discovery)) for number in range(FRONTS)
         )
-        fronts = await asyncio.wait_for(asyncio.gather(*starts), START_TIMEOUT)
+        ports = await asyncio.wait_for(asyncio.gather(*starts), START_TIMEOUT)
         await asyncio.wait_for(agent.wait_for_watchers(FRONTS), START_TIMEOUT)
-        traffic, rate = Traffic(fronts, 1), LOAD * CAPACITY * len(prefill)
+        traffic, rate = Traffic(ports, 1), LOAD * CAPACITY * len(prefill)
         await traffic.run(rate, QUIET_TIME)
         lost = [engine for engine in prefill if engine.zone == ZONES[0]]
         back = lost[:ENGINES_BACK]
