Slow start: answers of engines are counted by one function, from the newest on

answer_rate went over all remembered answers in each decision beside the count that RecentTraffic has; it calls that now, which stops at the time asked for. The warm engines of a role are listed by one function.

--- a/heathford/policy/recent_traffic.py
+++ b/heathford/policy/recent_traffic.py
@@ -86,10 +86,14 @@
         figures = []
         for since in dict.fromkeys((self.begin(draws), self.clock.now - self.shortest)):
             drawn = counted_share * count_since(draws, since)
-            answered = sum(engine in engines for _, engine in since_then(self.answers, since))
+            answered = self.answers_since(since, engines)
             figures.append((ASSUMED_DRAWS * expected + answered) / (ASSUMED_DRAWS + drawn))
         return min(figures)
 
+    def answers_since(self, since: float, engines: Collection[Engine]) -> int:
+        """Return how many answers these engines gave from that time on."""
+        return sum(engine in engines for _, engine in since_then(self.answers, since))
+
     def begin(self, draws: deque[float]) -> float:
         """Return from when on these draws and their answers are counted."""
         now = self.clock.now
--- a/heathford/policy/slow_start.py
+++ b/heathford/policy/slow_start.py
@@ -59,6 +59,10 @@
         """Return whether it has started so recently that it may not be warm yet."""
         return engine.started != 0.0 and self.clock.now - engine.started < self.warm_after
 
+    def warm_engines(self, role: Role) -> list[Engine]:
+        """Return the engines of a role that are in service and warm."""
+        return [engine for engine in self.pools[role] if not self.is_cold(engine)]
+
     def admits(self, engine: Engine, session: str, drawn_at: float) -> bool:
         """Return whether a request of a session may go to a cold engine now; drawn_at: when it last drew.
 
@@ -105,8 +109,7 @@
 
         Where no engine of the role is warm anywhere, an even part of the requests is assumed.
         """
-        pool = self.pools[role]
-        warm = [engine for engine in pool if not self.is_cold(engine)]
+        pool, warm = self.pools[role], self.warm_engines(role)
         if not warm:
             return 1.0 / max(1, len(pool))
         reference, zones = [engine for engine in warm if engine.zone == zone], 1
@@ -208,8 +211,7 @@
         """
         computed_at, per_engine, in_total = self.budgets.get(role, (-1.0, 0.0, 0.0))
         if computed_at != self.clock.now:
-            pool = self.pools[role]
-            warm = [e for e in pool if not self.is_cold(e)]
+            pool, warm = self.pools[role], self.warm_engines(role)
             rate = self.answer_rate(warm or pool) / max(1, len(warm or pool))
             per_engine = self.cold_share * rate * self.window
             in_total = per_engine * (len(pool) - len(warm))
@@ -222,9 +224,8 @@
         Counted over the last window, or over the time in which an engine warms up where the window has too
         few. At least one answer is assumed, as otherwise no cold engine would ever be tried.
         """
-        now, history, counted = self.clock.now, self.traffic.answers, dict.fromkeys(engines)
-        while history and history[0][0] < now - self.traffic.longest:
-            history.popleft()
-        ages = [now - at for at, engine in history if engine in counted]
-        recent = sum(age <= self.window for age in ages)
-        return recent / self.window if recent >= MIN_ANSWERS else max(1, len(ages)) / self.warm_after
+        now, traffic, counted = self.clock.now, self.traffic, dict.fromkeys(engines)
+        recent = traffic.answers_since(now - self.window, counted)
+        if recent >= MIN_ANSWERS:
+            return recent / self.window
+        return max(1, traffic.answers_since(now - traffic.longest, counted)) / self.warm_after
