--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,175 +1,120 @@
-"""A release in a fleet of 3,200 engines: front nodes are busy with the list and answer too late.
-
-The front nodes share one core, as the platform says that they may.
-"""
+"""Clients that send much at once: a front node goes over its memory limit, and the platform kills it."""
 
 import asyncio
-import json
-import os
-import resource
 import sys
-import time
+from collections import Counter
+from contextlib import suppress
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 from kit_2 import (
     TROUBLE,
-    Answer,
     Case,
-    CaseError,
     Client,
     Discovery,
     Engine,
     Front,
     World,
-    chunk,
     play,
-    read_head,
     settings,
 )
 
-ENGINES = 3_200  # the most that the standing test names
-KINDS = (("prefill", "read"), ("decode-a", "write"), ("decode-b", "write"), ("combined", "both"))
-ZONES = ("kbh", "odense", "vejle")
-PERIOD = 0.29  # s between two changes of the list: the shortest of the site file, `period_ms`
-REPLACED = 26  # engines that begin to drain with each change: half of all in 18 s
-DRAIN_TIME = 2.0  # s from the drain of an engine to its end, when its successor starts
-RELEASE_TIME = 18.0  # s
-FRONTS = 3  # on one core
-RATE = 4.0  # requests a second at each front node
-BUDGET = 3.0  # s
-LATE_LIMIT = 0.5  # s after its time, up to which an answer only earns nothing
-DESCRIPTORS = 9_000
-
-
-class Fleet:
-    """The engines and what their agent tells of them."""
-
-    def __init__(self, case: Case, world: World) -> None:
-        self.case, self.world = case, world
-        self.made = 0
-        self.serving: list[Engine] = []  # of the start, the next to be replaced first
-        self.draining: list[tuple[float, Engine]] = []
-        self.listed: list[Engine] = []
-
-    async def add(self, model: str, role: str, zone: str, boot_ms: int = 0) -> Engine:
-        engine = Engine(self.world, f"s-{self.made:08x}", model, role)
-        engine.zone, engine.boot_ms, engine.quiet = zone, boot_ms, True
-        self.made += 1
-        await self.case.open(engine)
-        self.listed.append(engine)
-        return engine
-
-    async def start(self) -> None:
-        for number in range(ENGINES):
-            self.serving.append(await self.add(*KINDS[number % 4], ZONES[number // 4 % 3]))
+MEMORY_MB = 192  # the most that the standing pages name
+DESCRIPTORS = 1_024  # the same
+CONNECTIONS = 340  # of the bad clients: under a third of the descriptors
+AT_ONCE = 8  # requests that each of these connections sends at once
+PROMPT = 62_000  # tokens, 248,000 bytes of body: the protocol allows 262,144
+BUDGET_MS = 6_000
+WAVES_TIME = 20.0  # s
+USUAL_RATE = 5.0  # requests a second of the usual clients
 
-    async def step(self) -> list[Engine]:
-        """Replace some engines; return those that have changed."""
-        now, changed = time.monotonic(), list[Engine]()
-        for engine in self.serving[:REPLACED]:
-            engine.state = "DRAINING"
-            self.draining.append((now, engine))
-            changed.append(engine)
-        del self.serving[:REPLACED]
-        while self.draining and now - self.draining[0][0] >= DRAIN_TIME:
-            _, engine = self.draining.pop(0)
-            engine.state = "DELETED"
-            self.listed.remove(engine)
-            if engine.server:
-                engine.server.close()
-            started = int(time.time() * 1000)
-            changed += [engine, await self.add(engine.model, engine.role, engine.zone, started)]
-        return changed
 
-
-def tell(discovery: Discovery, changed: list[Engine]) -> None:
-    discovery.version += 1
-    message = {"rev": discovery.version, "all": False, "targets": [engine.row for engine in changed]}
-    for writer in discovery.watchers:
-        writer.write(chunk(json.dumps(message).encode() + b"\n"))
+def resident_mb(front: Front) -> float:
+    assert front.process
+    for line in Path(f"/proc/{front.process.pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
 
 
 async def body(case: Case) -> None:
-    _, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
-    if hard != resource.RLIM_INFINITY and hard < DESCRIPTORS:
-        raise CaseError("too few descriptors for the stand-ins")
-    resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, hard))
     world = World(case.record)
-    fleet = Fleet(case, world)
-    await fleet.start()
-    agents = [Discovery(case.record, fleet.listed) for _ in range(FRONTS)]
-    await case.open(*agents)
-    fronts = [Front(case, f"n{i}", agents[i], settings(i, FRONTS)) for i in range(FRONTS)]
-    shared_core = max(os.sched_getaffinity(0))
-    for front in fronts:
-        front.start()
-        assert front.process
-        os.sched_setaffinity(front.process.pid, {shared_core})
-    for front in fronts:
-        await front.wait_ready()
-    worst_lag = 0.0  # s of this script's own event loop
-    late: list[str] = []
-
-    async def one(number: int) -> None:
-        name, client = f"{number:016x}", Client(case, fronts[number % FRONTS])
-        sent = time.monotonic()
-        await client.send(name, 600, int(1000 * BUDGET), quiet=True)
-        assert client.reader
-        head = await asyncio.wait_for(read_head(client.reader), 40.0)
-        took = time.monotonic() - sent
-        case.record.add(
-            "request", name, "got", head[0] if head else "a close without answer", f"{took:.3f} s"
-        )
-        if head is None:
-            late.append(f"{name}: closed without an answer")
-        elif took > BUDGET + LATE_LIMIT + worst_lag:
-            late.append(f"{name}: answered after {took:.3f} s, its time was {BUDGET} s")
-        if head and " 200 " in head[0]:
-            await client.receive_body(Answer())
+    readers = [Engine(world, f"r{i}", "prefill", "read") for i in range(4)]
+    writers = [Engine(world, f"w{i}", "decode-a", "write") for i in range(6)]
+    both = [Engine(world, f"c{i}", "combined", "both") for i in range(3)]
+    engines = readers + writers + both
+    for engine in engines:
+        engine.quiet = True
+    await case.open(*engines)
+    discovery = Discovery(case.record, engines)
+    await case.open(discovery)
+    front = Front(case, "n0", discovery, settings())
+    front.limits = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS}
+    front.start()
+    await front.wait_ready()
+    case.record.add(f"memory of the front node at rest: {resident_mb(front):.1f} MB of {MEMORY_MB}")
+    killed = False
+    got: Counter[str] = Counter()
+    lost = 0
+
+    async def platform() -> None:
+        """Kill the front node over its limit, as the platform does."""
+        nonlocal killed
+        most = 0.0
+        while not killed:
+            held = resident_mb(front)
+            if held > most + 10.0:
+                most = held
+                case.record.add(f"memory {held:.1f} MB")
+            if held > MEMORY_MB:
+                killed = True
+                assert front.process
+                front.process.kill()
+                case.broken(f"the front node held {held:.1f} MB of {MEMORY_MB} and was killed")
+            await asyncio.sleep(0.02)
+
+    async def bad_client(wave: int, number: int) -> None:
+        client = Client(case, front)
+        names = [f"{0xBAD:04x}{wave:04x}{number:04x}{i:04x}" for i in range(AT_ONCE)]
+        try:
+            await client.connect()
+            assert client.writer
+            client.writer.write(b"".join(client.request(name, PROMPT, BUDGET_MS) for name in names))
+            for name in names:
+                answer = await asyncio.wait_for(client.receive(name, True), 20.0)
+                got[str(answer.status)] += 1
+        except (OSError, TimeoutError):
+            got["no connection"] += 1
         client.close()
 
-    requests: list[asyncio.Task[None]] = []
-
-    async def load(end: float) -> None:
-        number = 0
-        while time.monotonic() < end:
-            number += 1
-            requests.append(asyncio.ensure_future(one(number)))
-            await asyncio.sleep(1.0 / (RATE * FRONTS))
-
-    async def release(end: float) -> None:
-        while time.monotonic() < end:
-            began = time.monotonic()
-            changed = await fleet.step()
-            for agent in agents:
-                tell(agent, changed)
-            case.record.add("told", len(changed), "entries, version", agents[0].version)
-            await asyncio.sleep(max(0.0, began + PERIOD - time.monotonic()))
-
-    async def watch_lag() -> None:
-        nonlocal worst_lag
-        while True:
-            began = time.monotonic()
-            await asyncio.sleep(0.05)
-            worst_lag = max(worst_lag, time.monotonic() - began - 0.05)
+    async def usual_client(number: int) -> None:
+        nonlocal lost
+        client, name = Client(case, front), f"{number:016x}"
+        with suppress(OSError, TimeoutError):  # the front node is gone
+            answer = await asyncio.wait_for(client.ask(name, 600, 3_000, quiet=True), 20.0)
+            case.record.add("usual client got", name, answer.status, "whole" if answer.whole else "not whole")
+            lost += not answer.whole
+        client.close()
 
-    lag = asyncio.ensure_future(watch_lag())
-    end = time.monotonic() + 2.0 + RELEASE_TIME + 2.0
-    loading = asyncio.ensure_future(load(end))
-    await asyncio.sleep(2.0)
-    if TROUBLE:
-        await release(time.monotonic() + RELEASE_TIME)
-    await loading
-    await asyncio.wait(requests)
-    lag.cancel()
-    for task in requests:
-        if error := task.exception():
-            late.append(f"no answer: {error!r}")
-    case.record.add(f"longest lag of this script {worst_lag:.3f} s")
-    case.record.add(len(requests), "requests,", len(late), "lost")
-    if late:
-        case.broken(f"{len(late)} of {len(requests)} requests lost; the first: {late[0]}")
+    watching = asyncio.ensure_future(platform())
+    end, number, wave = case.record.now + WAVES_TIME, 0, 0
+    usual: list[asyncio.Task[None]] = []
+    wave_task: asyncio.Future[list[None]] | None = None
+    while case.record.now < end and not killed:
+        number += 1
+        usual.append(asyncio.ensure_future(usual_client(number)))
+        if TROUBLE and (wave_task is None or wave_task.done()):
+            wave += 1
+            case.record.add("wave", wave, "bad clients got so far", dict(got))
+            wave_task = asyncio.gather(*(bad_client(wave, i) for i in range(CONNECTIONS)))
+        await asyncio.sleep(1.0 / USUAL_RATE)
+    await asyncio.wait(usual)
+    watching.cancel()
+    if wave_task:
+        wave_task.cancel()
+        with suppress(asyncio.CancelledError):
+            await wave_task
+    case.record.add("bad clients got", dict(got), "; requests of usual clients cut off:", lost)
 
 
 play(__file__, body)
