--- a/review/kit_2.py
+++ b/review/kit_2.py
@@ -448,7 +448,7 @@
 class Client:
     """One client connection."""
 
-    def __init__(self, case: "Case", front: Front) -> None:
+    def __init__(self, case: Any, front: Any) -> None:
         self.case, self.front = case, front
         self.reader: asyncio.StreamReader | None = None
         self.writer: asyncio.StreamWriter | None = None
