--- a/review/kit_2.py
+++ b/review/kit_2.py
@@ -574,6 +574,9 @@
     case.record.add("trouble" if TROUBLE else "no trouble")
 
     async def run() -> None:
+        task = asyncio.current_task()
+        assert task
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             await asyncio.wait_for(body(case), ACTION_TIME_LIMIT)
         finally:
@@ -584,7 +587,7 @@
     try:
         asyncio.run(run())
         code = BROKEN if case.breaks else HELD
-    except (CaseError, OSError, TimeoutError) as error:
+    except (Exception, asyncio.CancelledError) as error:  # an error of the script is no broken rule
         case.record.add("the case could not run:", repr(error))
         print("the case could not run:", repr(error))
     case.record.add("exit code", code)
