--- a/review/6/case.py
+++ b/review/6/case.py
@@ -102,4 +102,4 @@
     case.record.add("requests of usual clients cut off:", lost)
 
 
-play(__file__, body)
+play(Path(__file__).with_name("record.txt"), body)
--- a/review/kit_2.py
+++ b/review/kit_2.py
@@ -529,8 +529,8 @@
 class Case:
     """One case: its record, its temporary folder and its processes."""
 
-    def __init__(self, folder: Path) -> None:
-        self.record = Record(folder / "record.txt")
+    def __init__(self, record: Path) -> None:
+        self.record = Record(record)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.processes: list[subprocess.Popen[bytes]] = []
         self.servers: list[Server] = []
@@ -565,12 +565,12 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def play(file: str, body: Callable[[Case], Awaitable[None]]) -> None:
-    """Play a case and exit with its code."""
+def play(record: Path, body: Callable[[Case], Awaitable[None]]) -> None:
+    """Play a case, write its record to that file, and exit with its code."""
     if not (ROOT / ".venv/complete").exists():
         print("the build of the deploy file is missing")
         sys.exit(NOT_RUN)
-    case = Case(Path(file).resolve().parent)
+    case = Case(record)
     case.record.add("trouble" if TROUBLE else "no trouble")
 
     async def run() -> None:
