What is over is freed at once, and charged until then

Cause: a closed request kept its body, and request, attempts, calls, the router's object and the followed state referred to each other, so each one stayed until the full collection every 2 s. Its bytes had been given back to the budget with the answer, and the next requests were let in. A parser referred to itself through its bound `read_next`.

Fix: the body goes as the request is over; the core takes the references apart as it forgets the request; parsers hold a plain function for their next step. The charge is given back when the core forgets the request, as an attempt in flight may still hold the body.

--- a/heathford/core/accepted_request.py
+++ b/heathford/core/accepted_request.py
@@ -1,6 +1,6 @@
 """One accepted request, until its one final answer and the end of its last attempt."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import TYPE_CHECKING, Any
 
 import structlog
@@ -26,7 +26,8 @@
     each has a name of its own. answer_deadline: s on the loop's clock by which the router gives the final
     answer. over: the final answer has been given, or the client has disconnected. abandoned: its routing
     decision raised, so the router is asked for nothing more. routed_request: the router's own object for it,
-    None until the turn in which the router gets it.
+    None until the turn in which the router gets it. body: what attempts send, None once no further one can
+    be. on_removed: called once, when the core has forgotten the request.
     """
 
     def __init__(
@@ -39,6 +40,7 @@
         idempotency_key: str,
         answer_deadline: float,
         workload: Workload,
+        on_removed: Callable[[], None],
     ) -> None:
         self.core, self.response_writer, self.name, self.body, self.idempotency_key = (
             core,
@@ -47,6 +49,7 @@
             body,
             idempotency_key,
         )
+        self.on_removed = on_removed
         self.lifecycle = RequestLifecycle(name, workload)
         core.history.add(name, "taken")
         self.answer_deadline = answer_deadline
@@ -198,6 +201,7 @@
         if self.over:
             return False
         self.over = True
+        self.body = None
         self.core.gate.transition(self.lifecycle, Event.LEFT if how == "left" else Event.ANSWERED)
         self.core.history.add(self.name, how, why)
         if self.timer:
@@ -240,6 +244,18 @@
             self.cancel_attempt(self.in_flight)
         self.release(ReleaseReason.DECISION_FAILED)
 
+    def removed(self) -> None:
+        """Let go of attempts and state: the core has forgotten the request, and nothing more happens to it.
+
+        They refer back to the request. With these references it would stay in memory until the next full
+        garbage collection, and a client that sends one request after another could fill the memory.
+        """
+        if self.routed_request is None or self.routed_request.is_done:
+            self.routed_request = None
+            self.prefill = PrefillState()
+            self.attempts.clear()
+        self.on_removed()
+
     @property
     def is_removable(self) -> bool:
         """Whether nothing more can happen to the request, so that the core may forget it."""
--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -169,6 +169,7 @@
         name: str = "",
         answer_hint: float = 0.0,
         size: int = 0,
+        on_removed: Callable[[], None] = lambda: None,
     ) -> AcceptedRequest:
         """Accept a request; its final answer goes to the response writer before the client's deadline.
 
@@ -177,7 +178,8 @@
         prefix. prompt, shared_tokens, longest: tokens of the prompt, of the shared prefix and at most of the
         answer. mark: idempotency key, or empty. name: the request's name towards client and engines, where
         the client protocol has one. answer_hint: expected s of the answer, 0 if unknown. size: bytes sent to
-        an engine, used where the link reports slow sends.
+        an engine, used where the link reports slow sends. on_removed: called once the request is over and no
+        attempt of it is out, so that nothing of it takes memory any more.
         """
         self.request_number += 1
         self.tally.taken += 1
@@ -192,6 +194,7 @@
             mark,
             answer_deadline,
             self.workloads[workload],
+            on_removed,
         )
         self.live[request] = None
 
@@ -287,9 +290,10 @@
         self.decide()
         candidates, self.removal_candidates = self.removal_candidates, {}
         for request in candidates:
-            if request.is_removable:
+            if request.is_removable and request in self.live:
                 request.release_late_prefill()
-                self.live.pop(request, None)
+                del self.live[request]
+                request.removed()
         if not self.live and self.idle_callbacks:
             calls, self.idle_callbacks = self.idle_callbacks, []
             for call in calls:
--- a/heathford/core/engine_attempt.py
+++ b/heathford/core/engine_attempt.py
@@ -8,6 +8,7 @@
 
 from heathford.core.protocols import LinkCall, Cancellable, Endpoint
 from heathford.core.gate import GateAttempt, Event, Reason, Stage
+from heathford.core.history import AttemptHistory
 from heathford.core.held_state import HeldStage, HeldState, ReleaseReason, SignOfLife
 from heathford.interface import ANSWERED_BY_ENGINE, NEVER_RAN, Role, Outcome
 from heathford.policy.engine_state import ColdAdmission
@@ -31,19 +32,15 @@
         self.request, self.seq, self.endpoint, self.handed_over_at = request, seq, endpoint, now
         self.name = request.name if request.attempts_share_name else f"{request.name}.{seq}"
         self.is_prefill = endpoint.role is Role.PREFILL
+        self.record = AttemptHistory(request.core.history, request.name, seq, endpoint.name).record
         self.streaming = self.over = False
         self.arrival_check: Cancellable | None = None  # timer
-        self.call: LinkCall | None = None
+        self.call: LinkCall | None = None  # until it has ended: a call refers to its attempt
         self.held: HeldState | None = None
         self.cold_admission: ColdAdmission | None = None  # None: its engine was warm when it was decided
         self.gate_attempt = GateAttempt(request.core.target(endpoint.number), self.is_prefill, now)
         request.lifecycle.attempts.append(self.gate_attempt)
 
-    def record(self, event: str, reason: str = "", engine: str = "") -> None:
-        self.request.core.history.add(
-            self.request.name, event, reason, self.seq, engine or self.endpoint.name
-        )
-
     def may_send(self) -> bool:
         """Decide right before the first byte leaves whether the attempt may still be sent.
 
@@ -108,7 +105,7 @@
         latency = core.loop.time() - self.handed_over_at
         if request.timer:
             request.timer.cancel()
-        request.body = None  # no retry from here on; prompts kept during long streams would fill the memory
+        request.body = None  # no retry from here on
         if core.stream_limit < inf:
             request.timer = core.loop.call_at(core.loop.time() + core.stream_limit, request.abort_long_stream)
         core.notify_router(request, lambda routed_request: routed_request.first_token(self.seq, latency))
@@ -194,7 +191,7 @@
     ) -> None:
         if self.over:
             return
-        self.over = True
+        self.over, self.call = True, None
         if self.arrival_check:
             self.arrival_check.cancel()
         request, core = self.request, self.request.core
--- a/heathford/core/history.py
+++ b/heathford/core/history.py
@@ -24,6 +24,23 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class AttemptHistory:
+    """Records the events of one attempt.
+
+    Refers to neither the attempt nor its request, so that whoever keeps it keeps neither in memory.
+    """
+
+    history: "History"
+    request: str
+    attempt: int
+    engine: str
+
+    def record(self, event: str, reason: str = "", engine: str = "") -> None:
+        """Record an event. engine: where it is another one than that of the attempt."""
+        self.history.add(self.request, event, reason, self.attempt, engine or self.engine)
+
+
 class History:
     """A ring buffer of records, and counts of all reasons since the process started."""
 
--- a/heathford/platform/client_connection.py
+++ b/heathford/platform/client_connection.py
@@ -70,7 +70,6 @@
         self.server = server
         self.transport: asyncio.Transport | None = None
         self.reader = RequestReader(MAX_HEAD_BYTES, MAX_BODY_BYTES, READ_HEADERS, server.memory)
-        self.open_memory = MemoryCharge(server.memory)  # of the open request
         self.unsent_memory = MemoryCharge(server.memory)  # of the write buffer, beyond what is guaranteed
         self.writing_paused = False
         self.accepted_request: AcceptedRequest | None = None
@@ -207,14 +206,14 @@
 
         The client's budget counts from the request's first byte: the client may have waited since then, also
         while the request arrived slowly or was queued behind another, and an engine must not be given a
-        later deadline.
+        later deadline. The memory of the request is charged until its last attempt has ended.
         """
-        server = self.server
+        server, charge = self.server, MemoryCharge(self.server.memory)
         self.head_sent = False
         self.accepted_request = accept_request(
-            server.core, self, request, server.workloads, server.open_requests, started_at
+            server.core, self, request, server.workloads, server.open_requests, started_at, charge.release
         )
-        self.open_memory.set(OPEN_REQUEST_BYTES + request.size)
+        charge.set(OPEN_REQUEST_BYTES + request.size)
         self.request_name = request.headers["x-call-id"]
         server.open_requests[self.request_name] = self.accepted_request
         server.connection_changed(self)
@@ -235,7 +234,6 @@
         """Forget the open request, once its final answer is due or its client is gone."""
         self.server.open_requests.pop(self.request_name, None)
         self.accepted_request, self.request_name = None, ""
-        self.open_memory.set(0)
 
     # Answers.
 
--- a/heathford/platform/engine_call.py
+++ b/heathford/platform/engine_call.py
@@ -17,6 +17,7 @@
 
 STREAM_SILENCE_LIMIT = 4.0  # s without an event, after which a stream has failed: clients wait for 5 s
 PREFILL_ANSWER_TIMEOUT = 0.1  # s for the rest of a prefill engine's answer, which has some 100 bytes
+NO_BODY = ("", b"")  # in place of a request's target and body that are not needed any more
 # outcomes after which a prefill attempt may still run at its engine
 UNCERTAIN_OUTCOMES = frozenset({Outcome.CANCELLED, Outcome.TIMED_OUT, Outcome.BROKEN})
 
@@ -103,7 +104,7 @@
 
     def encode(self) -> bytes:
         """Return the request as bytes, and start to time its transfer; called once."""
-        (target, body), self.body = self.body, ("", b"")  # frees the prompt while the answer streams
+        (target, body), self.body = self.body, NO_BODY  # frees the prompt while the answer streams
         now = self.loop.time()
         self.transfer = self.link.transfers.start(self.endpoint.number, len(body), self.expires_at - now, now)
         budget_ms = max(1, int(1000 * (self.expires_at - now - self.transfer.reserved_time)))
@@ -156,6 +157,7 @@
             return
         sent = self.connection is not None
         self.finish(keep_alive)
+        self.body = NO_BODY  # the call may live on in a connection that is still being opened
         self.link.outcomes[outcome] += 1
         if (
             (sent or outcome is Outcome.BROKEN)
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -56,8 +56,8 @@
 LISTEN_TIMEOUT = 3.0
 LISTEN_RETRY_INTERVAL = 0.05  # s
 SHUTDOWN_CHECK_INTERVAL = 0.05  # s: small beside the 0.7 s after which the process may be killed
-# Sweeps between two full garbage collections, 2 s in all. Requests and their attempts refer to each other;
-# at its default thresholds the collector let ten times as many pile up. A collection takes about 3 ms.
+# Sweeps between two full garbage collections, 2 s in all. What is over is freed without them; they are for
+# cycles that exceptions and asyncio leave. A collection takes about 3 ms.
 SWEEPS_PER_COLLECTION = 8
 # s to wait for the first list of the discovery agent on this machine: it answers at once, or not at all while
 # discovery is down. That is time for more than two calls; a start may take 10 s.
--- a/heathford/platform/request_acceptance.py
+++ b/heathford/platform/request_acceptance.py
@@ -4,7 +4,7 @@
 """
 
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from heathford.core.accepted_request import AcceptedRequest
 from heathford.core.core import Core
@@ -55,12 +55,13 @@
     workloads: Mapping[str, int],
     open_requests: Mapping[str, AcceptedRequest],
     received: float,
+    on_removed: Callable[[], None],
 ) -> AcceptedRequest:
     """Validate the request and have the core accept it.
 
     Raises RequestError before the core has seen any of it. workloads: index of each workload by its name.
     open_requests: unanswered requests of this front node by their X-Call-Id. received: when the client's
-    budget starts, in seconds on the event loop's clock.
+    budget starts, in seconds on the event loop's clock. on_removed: see `Core.accept`.
     """
     if request.target.partition("?")[0] != COMPLETIONS_PATH:
         raise RequestError(404, "nothing here")
@@ -120,4 +121,5 @@
         name=name,
         answer_hint=hint_seconds,
         size=len(request.body),
+        on_removed=on_removed,
     )
--- a/heathford/wire/http1.py
+++ b/heathford/wire/http1.py
@@ -5,7 +5,7 @@
 """
 
 import re
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import orjson
@@ -19,6 +19,11 @@
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}")  # int() alone accepts signs, underscores and 0x too
 
 
+# A step of a parser; None: it needs more bytes. Called with the parser, as a bound method would make the
+# parser refer to itself, and keep it in memory until a full garbage collection.
+ParseStep = Callable[[Any], bytes | None]
+
+
 class MalformedMessageError(Exception):
     """The received bytes break the protocol."""
 
@@ -58,7 +63,7 @@
         self.framing_excess = 0  # bytes of framing, less framing_ratio for each byte of the chunks
         self.done = self.keep_alive = False
         self.remaining = 0  # bytes of the body, or of the current chunk, that are still to be received
-        self.read_next = self.read_head  # parses the next part; returns None where it needs more bytes
+        self.next_step: ParseStep = type(self).read_head  # parses the next part
 
     def read_head(self) -> bytes | None:
         raise NotImplementedError
@@ -103,7 +108,7 @@
         self.framing_excess += len(line) + LINE_ENDS_OF_CHUNK - self.framing_ratio * self.remaining
         if self.framing_excess > MAX_FRAMING_BYTES:
             raise MalformedMessageError("chunks too small for their framing")
-        self.read_next = self.read_chunk if self.remaining else self.read_trailers
+        self.next_step = Message.read_chunk if self.remaining else Message.read_trailers
         return b""
 
     def read_chunk(self) -> bytes | None:
@@ -114,7 +119,7 @@
         if self.buffer[:2] != b"\r\n":
             raise MalformedMessageError("a chunk longer than stated")
         del self.buffer[:2]
-        self.read_next = self.read_chunk_size
+        self.next_step = Message.read_chunk_size
         return b""
 
     def read_trailers(self) -> bytes | None:
@@ -154,7 +159,7 @@
         """Parse received bytes and yield parts of the body. Raises MalformedMessageError."""
         self.buffer += data
         while not self.done:
-            part = self.read_next()
+            part = self.next_step(self)
             if part is None:
                 return
             if part:
@@ -198,19 +203,19 @@
             return b""
         self.keep_alive = "close" not in parse_token_list(self.headers.get("connection", ""))
         if self.headers.get("transfer-encoding", "").lower() == "chunked":
-            self.read_next = self.read_chunk_size
+            self.next_step = Message.read_chunk_size
         elif self.status in (204, 304):
             self.done = True
         else:
             length = self.headers.get("content-length")
             if length is None:  # RFC 9112, 6.3: the body ends when the peer closes
                 self.until_close, self.keep_alive = True, False
-                self.read_next = self.read_rest
+                self.next_step = Response.read_rest
                 return b""
             if not CONTENT_LENGTH.fullmatch(length):
                 raise MalformedMessageError("Content-Length is not a number")
             self.remaining = int(length)
-            self.read_next = self.read_body
+            self.next_step = Message.read_body
             self.done = self.remaining == 0
         return b""
 
--- a/heathford/wire/request_reader.py
+++ b/heathford/wire/request_reader.py
@@ -110,10 +110,7 @@
         self.started_at: float | None = None  # when the first byte of the current one was read
 
     def new_request(self) -> Request:
-        """Return a parser of the next request.
-
-        A parser is freed by the garbage collector, so it must not be left with the body or received bytes.
-        """
+        """Return a parser of the next request."""
         return Request(self.max_head_bytes, self.max_body_bytes, self.buffer)
 
     @property
--- a/heathford/wire/requests.py
+++ b/heathford/wire/requests.py
@@ -83,7 +83,7 @@
         steps_before = self.steps
         try:
             while self.buffer and not self.done and self.steps - steps_before < max_steps:
-                part = self.read_next()
+                part = self.next_step(self)
                 if part is None:
                     break
                 self.steps += 1
@@ -165,14 +165,14 @@
                 raise RequestError(400, "a body of two lengths")  # has both fields
             if coding.lower() != "chunked":
                 raise RequestError(501, "a transfer coding other than chunked")
-            self.read_next = self.read_chunk_size
+            self.next_step = Message.read_chunk_size
         elif length is not None:
             if not CONTENT_LENGTH.fullmatch(length):
                 raise RequestError(400, "a length that is no number")
             self.remaining = int(length)
             if self.remaining > self.max_body_bytes:
                 raise RequestError(413, "a body too long")
-            self.read_next = self.read_body
+            self.next_step = Message.read_body
             self.done = self.remaining == 0
         else:
             self.done = True
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -1,12 +1,18 @@
 """What clients send, and do not read, takes a bounded amount of a front node's memory."""
 
 import asyncio
+import gc
 import tracemalloc
+from collections import Counter
+from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
-from raw_peers import FrontSetup, request, run_scenario, until
+from raw_peers import FrontSetup, decode, prefill, request, run_scenario, until
 
+from heathford.core.accepted_request import AcceptedRequest
+from heathford.core.engine_attempt import EngineAttempt
+from heathford.platform.answers import Answer
 from heathford.platform.client_connection import GUARANTEED_UNSENT_BYTES
 from heathford.platform.memory import (
     BYTES_PER_MB,
@@ -15,8 +21,30 @@
     request_bytes,
     resident_bytes,
 )
+from heathford.standin.platform import DECODE_RESPONSE, PREFILL_RESPONSE
+from heathford.wire.requests import Request
 
 AT_ONCE = 250  # requests that a client sends at once
+OF_A_REQUEST = (AcceptedRequest, EngineAttempt, Answer)
+
+
+@pytest.fixture
+def no_collector(monkeypatch: pytest.MonkeyPatch) -> Iterator[None]:
+    """What is in memory during the test is referred to, or is part of a reference cycle."""
+    gc.collect()
+    gc.disable()
+    monkeypatch.setattr(gc, "collect", lambda: 0)  # the node collects every two seconds
+    yield
+    gc.enable()
+
+
+def in_memory() -> Counter[str]:
+    """Count the objects of requests that are in memory, garbage included."""
+    return Counter(type(found).__name__ for found in gc.get_objects() if isinstance(found, OF_A_REQUEST))
+
+
+def parsers_in_memory() -> int:
+    return sum(isinstance(found, Request) for found in gc.get_objects())
 
 
 def test_hundreds_of_requests_at_once_take_little_more_than_their_size(tmp_path: Path) -> None:
@@ -59,6 +87,76 @@
     run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("end", ["answered", "refused", "left before its prefill", "left in its stream"])
+def test_a_request_that_is_over_is_freed_without_the_garbage_collector(
+    tmp_path: Path, end: str, no_collector: None
+) -> None:
+    """Refused requests kept their bodies until the next collection: clients that sent large ones again at
+    once took the node over its memory limit within 2 s."""
+
+    async def scenario(setup: FrontSetup) -> None:
+        client = setup.client()
+        if end == "refused":
+            prefill_engine, decode_engine = setup.engines
+            prefill_engine.state = decode_engine.state = "DRAINING"
+            setup.publish_entries(prefill_engine, decode_engine)
+            await until(lambda: setup.node.endpoint_list.version == 2, "the drain")
+        client.send(request("c0", size=9_000))
+        if end == "refused":
+            assert await client.wait_for_answers(1) == [503]
+        elif end == "left before its prefill":
+            await setup.engines[0].wait_for_request()
+            client.disconnect("closed")
+        else:
+            (await setup.engines[0].wait_for_request()).sock.sendall(PREFILL_RESPONSE)
+            stream = await setup.engines[1].wait_for_request()
+            whole = DECODE_RESPONSE if end == "answered" else DECODE_RESPONSE[: len(DECODE_RESPONSE) // 2]
+            stream.sock.sendall(whole)
+            await client.wait_for_answers(1)
+            if end == "left in its stream":
+                client.disconnect("closed")
+        await until(lambda: not setup.node.core.live, "an end")
+        setup.node.clients.sweep(setup.node.loop.time())
+        await until(lambda: not in_memory(), f"nothing of it in memory: {in_memory()}")
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_the_parser_of_a_request_is_freed_without_the_garbage_collector(
+    tmp_path: Path, no_collector: None
+) -> None:
+    """A parser referred to itself, and stayed with the head of its request until the next collection."""
+
+    async def scenario(setup: FrontSetup) -> None:
+        client = setup.client()
+        client.send(b"GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n" * 20)
+        await client.wait_for_answers(20)
+        before = parsers_in_memory()
+        client.send(b"GET /health/ready HTTP/1.1\r\nHost: o\r\n\r\n" * 20)
+        await client.wait_for_answers(40)
+        assert parsers_in_memory() == before
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_a_request_is_charged_until_its_last_attempt_has_ended(tmp_path: Path) -> None:
+    """Its body was given back to the budget as its client left, while an attempt still held it."""
+    size = 200_000
+
+    async def scenario(setup: FrontSetup) -> None:
+        memory, client = setup.node.clients.memory, setup.client()
+        client.send(request("c0", size=size))
+        attempt = await setup.engines[0].wait_for_request()
+        await until(lambda: size < memory.used_bytes < 2 * size, "a charge of the whole request")
+        client.disconnect("closed")
+        await until(lambda: not setup.node.clients.open_requests, "a client that left")
+        assert setup.node.core.live and memory.used_bytes > size
+        attempt.sock.sendall(PREFILL_RESPONSE)
+        await until(lambda: memory.used_bytes == 0, "no charge")
+
+    run_scenario(tmp_path, scenario, prefill(), decode(), cancel=False)
+
+
 @pytest.mark.parametrize("max_bytes, dropped", [(0, True), (1 << 20, False)])
 def test_a_client_that_does_not_read_is_dropped_when_memory_is_used_up(
     tmp_path: Path, max_bytes: int, dropped: bool
