A release is repeated after any attempt that was given up

Cause: the DELETE and the end of the attempt's connection travel apart. An engine that reads the DELETE first still has the attempt waiting on the state and frees nothing; a confirmed release was repeated only after a given-up prefill.

Fix: AbandonedPrefill becomes AbandonedAttempts. The repeat goes first to the engine of the given-up attempt, until it has answered one. Where the request goes on, the next attempt calls repeats off; the core then releases once more as that attempt streams or the request is over.

The soak's relays pass on the end of a connection to an engine 0.01 s late now, and its oracle ignores a release in that time: it took every release as freeing the state.

--- a/heathford/core/accepted_request.py
+++ b/heathford/core/accepted_request.py
@@ -129,6 +129,9 @@
         """
         holder = self.prefill.start_release()
         if holder:
+            if not self.over and any(attempt.gate_attempt.may_have_run for attempt in self.attempts):
+                # One of them may wait on the state at its engine, and keep it from this release.
+                self.prefill.unclear_attempt = holder
             self.release_from(holder, reason)
             if self.in_flight:
                 self.in_flight.check_engine_liveness()
@@ -181,9 +184,10 @@
         self.release_from(attempt, ReleaseReason.PREFILL_UNCLEAR)
 
     def release_late_prefill(self) -> None:
-        """Release once more what a prefill attempt with an unknown result may have left since.
+        """Release once more what a prefill attempt may have left since, or a decode attempt have kept.
 
-        Its engine may end the prefill after the first release, while the request went on elsewhere. Called
+        Its engine may end the prefill after the first release, or a decode attempt that was given up may have
+        waited on the state then, while the request went on elsewhere. Called
         only once a later attempt streams or the request is over: earlier, a release by the shared name could
         take the state that the later attempt needs. Costs one release where a further attempt followed.
         """
--- a/heathford/core/prefill_state.py
+++ b/heathford/core/prefill_state.py
@@ -23,7 +23,9 @@
         self.held: HeldState | None = None
         self.source: EngineAttempt | None = None  # the prefill attempt that left the waiting state
         self.released_source: EngineAttempt | None = None  # the same, once its state is released
-        self.unclear_attempt: EngineAttempt | None = None  # the last that may still succeed after its release
+        # The last prefill attempt whose state may be held after its release: the prefill may still succeed,
+        # or a decode attempt may have kept the state.
+        self.unclear_attempt: EngineAttempt | None = None
 
     @property
     def is_waiting(self) -> bool:
@@ -57,6 +59,6 @@
         return self.released_source
 
     def take_unclear_before(self, last: "EngineAttempt") -> "EngineAttempt | None":
-        """Return and forget the prefill attempt with an unknown result; None if it is the last attempt."""
+        """Return and forget the prefill attempt whose state may be held; None if it is the last attempt."""
         attempt, self.unclear_attempt = self.unclear_attempt, None
         return None if attempt is last else attempt
--- a/heathford/platform/engine_call.py
+++ b/heathford/platform/engine_call.py
@@ -7,7 +7,6 @@
 from heathford.interface import PART_ARRIVED, Role, Outcome
 from heathford.platform.answers import Answer
 from heathford.platform.exchange import EngineConnection, Exchange
-from heathford.platform.abandoned_prefill import AbandonedPrefill
 from heathford.policy.transfer import PROGRESS_CHECK_INTERVAL, Send, SendState
 from heathford.wire.http1 import MalformedMessageError, encode_request
 from heathford.wire.socket_state import unacknowledged_bytes
@@ -18,15 +17,17 @@
 STREAM_SILENCE_LIMIT = 4.0  # s without an event, after which a stream has failed: clients wait for 5 s
 PREFILL_ANSWER_TIMEOUT = 0.1  # s for the rest of a prefill engine's answer, which has some 100 bytes
 NO_BODY = ("", b"")  # in place of a request's target and body that are not needed any more
-# outcomes after which a prefill attempt may still run at its engine
-UNCERTAIN_OUTCOMES = frozenset({Outcome.CANCELLED, Outcome.TIMED_OUT, Outcome.BROKEN})
+# Outcomes after which an attempt may go on at its engine, which has not seen the end of the connection yet.
+UNCERTAIN_OUTCOMES = frozenset(
+    {Outcome.CANCELLED, Outcome.TIMED_OUT, Outcome.BROKEN, Outcome.UNARRIVED, Outcome.ERROR}
+)
 
 
 class EngineCall(Exchange):
     """One attempt; it ends once, with the first outcome that is reported.
 
     name: the id that the engine knows the request by; body: the request target and the bytes to post;
-    idempotency_key: or empty; timeout: s from now.
+    idempotency_key: or empty; timeout: s from now; waits_for_state: whether a prefill has left state for it.
     """
 
     link: "PlatformLink"
@@ -40,8 +41,10 @@
         idempotency_key: str,
         timeout: float,
         events: CallEvents,
+        waits_for_state: bool,
     ) -> None:
         super().__init__(link, endpoint, timeout)
+        self.may_hold_state = waits_for_state or endpoint.role is Role.PREFILL
         self.name, self.body, self.idempotency_key, self.events = name, body, idempotency_key, events
         self.answer = Answer(endpoint.role is Role.PREFILL)
         self.last_event_at = 0.0  # s on the loop's clock
@@ -155,18 +158,18 @@
         """End the attempt with that outcome, unless it has ended."""
         if self.over:
             return
-        sent = self.connection is not None
+        sent = self.connection is not None or outcome is Outcome.BROKEN
         self.finish(keep_alive)
         self.body = NO_BODY  # the call may live on in a connection that is still being opened
         self.link.outcomes[outcome] += 1
-        if (
-            (sent or outcome is Outcome.BROKEN)
-            and outcome in UNCERTAIN_OUTCOMES
-            and self.endpoint.role is Role.PREFILL
-        ):
-            self.link.abandoned_prefills[self.name] = AbandonedPrefill(self.loop.time())
+        if sent and self.may_hold_state and not self.stream_started and self.was_given_up(outcome):
+            self.link.abandoned.add(self.name, self.endpoint, self.loop.time())
         self.events.ended(outcome, detail, {}, {"kv": {}})
 
+    def was_given_up(self, outcome: Outcome) -> bool:
+        """Return whether this process ended the attempt, so that its engine may learn of it later."""
+        return outcome in UNCERTAIN_OUTCOMES and not self.answer.response.done
+
     def on_timeout(self) -> None:
         self.end(Outcome.TIMED_OUT)
 
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -12,11 +12,11 @@
 from heathford.engines.pools import ConnectionPools
 from heathford.engines.release_retries import NO_ANSWER
 from heathford.interface import Outcome
+from heathford.platform.abandoned_attempts import AbandonedAttemptTable
 from heathford.platform.engine_call import EngineCall
 from heathford.platform.exchange import EngineConnection
 from heathford.platform.silent_engines import SilentEngines
 from heathford.platform.state_release import CONNECTION_REFUSED, ReleaseCall, StateRelease
-from heathford.platform.abandoned_prefill import AbandonedPrefill
 from heathford.policy.transfer import TransferRates
 from heathford.wire.http1 import MalformedMessageError
 
@@ -69,7 +69,7 @@
         self.silent_engines = SilentEngines(lambda address: self.pools.pool(*address).last_received_at)
         self.tasks = Tasks("link")
         self.releases: dict[str, StateRelease] = {}  # by request
-        self.abandoned_prefills: dict[str, AbandonedPrefill] = {}  # by request
+        self.abandoned = AbandonedAttemptTable()
         self.transfers = TransferRates()
         self.retry_timers: dict[str, asyncio.TimerHandle] = {}  # of releases, by request
         self.outcomes: Counter[Outcome] = Counter()
@@ -86,12 +86,10 @@
         timeout: float,
         events: CallEvents,
     ) -> EngineCall:
-        call = EngineCall(self, endpoint, name, body, idempotency_key, timeout, events)
+        call = EngineCall(self, endpoint, name, body, idempotency_key, timeout, events, kv is not None)
         if name in self.retry_timers:
             self.retry_timers.pop(name).cancel()
-        if name in self.abandoned_prefills:
-            # The core releases what both may leave once this attempt has ended.
-            self.abandoned_prefills[name] = AbandonedPrefill(self.loop.time())
+        self.abandoned.attempt_sent(name, self.loop.time())
         if name in self.releases:
             # A DELETE names the request. If it arrived after this attempt, which is sent later, it would
             # release the attempt's state. The cost is the wait for its answer.
@@ -128,8 +126,9 @@
             if not confirmed:
                 self.failed_releases += 1
                 release.report_failure()
-            if confirmed and name in self.abandoned_prefills:
-                self.abandoned_prefills[name].release_confirmed(release.holder_answered)
+            abandoned = self.abandoned.get(name)
+            if confirmed and abandoned:
+                abandoned.release_confirmed(release.answered)
             if not release.waiting_calls:
                 self.schedule_retry_if_needed(confirmed, endpoint, name, events, retry_delay)
         finally:
@@ -140,16 +139,19 @@
     def schedule_retry_if_needed(
         self, confirmed: bool, endpoint: Endpoint, name: str, events: ReleaseEvents, retry_delay: float
     ) -> None:
-        """Retry a release that no engine confirmed, or whose prefill attempt may still be running."""
+        """Retry a release that no engine confirmed, or that may have overtaken the end of an attempt."""
         if not confirmed and retry_delay <= MAX_RELEASE_RETRY_DELAY:
             self.schedule_retry(retry_delay, endpoint, name, events, 2 * retry_delay)
             return
-        prefill = self.abandoned_prefills.get(name)
-        delay = prefill.next_release_in(self.loop.time(), self.pin_limit) if confirmed and prefill else None
-        if delay is None:
-            self.abandoned_prefills.pop(name, None)
+        abandoned = self.abandoned.get(name)
+        delay = (
+            abandoned.next_release_in(self.loop.time(), self.pin_limit) if confirmed and abandoned else None
+        )
+        if delay is None or abandoned is None:
+            self.abandoned.forget(name)
         else:
-            self.schedule_retry(delay, endpoint, name, events, MAX_RELEASE_RETRY_DELAY)
+            next_engine = abandoned.engine_to_ask or endpoint
+            self.schedule_retry(delay, next_engine, name, events, MAX_RELEASE_RETRY_DELAY)
 
     def schedule_retry(
         self, delay: float, endpoint: Endpoint, name: str, events: ReleaseEvents, next_retry_delay: float
@@ -177,10 +179,10 @@
     def retry_release(self, endpoint: Endpoint, name: str, events: ReleaseEvents, retry_delay: float) -> None:
         """Release once more, so that no state is left behind.
 
-        An engine may read a release, on another connection, before it finishes the prefill attempt that was
+        An engine may read a release, on another connection, before it sees the end of an attempt that was
         given up; and a release may stay unconfirmed. `send` cancels the retry when it starts another attempt,
         as the release names the request and would take that attempt's state. The cost is a few calls for each
-        prefill attempt that was given up.
+        attempt that was given up.
         """
         del self.retry_timers[name]
         self.release(endpoint, name, events, retry_delay)
--- a/heathford/platform/state_release.py
+++ b/heathford/platform/state_release.py
@@ -110,7 +110,7 @@
         self.listeners = [events]
         self.waiting_calls: list[Startable] = []
         self.calls: dict[asyncio.Future[int], ReleaseCall] = {}  # without an answer so far
-        self.holder_answered = False  # or its process is gone
+        self.answered: dict[Address, None] = {}  # engines that answered, or whose process is gone
 
     def notify(self, notification: Callable[[ReleaseEvents], None]) -> None:
         """Pass a notification on to all listeners."""
@@ -190,10 +190,8 @@
         done, _ = await asyncio.wait(self.calls, timeout=wait, return_when=asyncio.FIRST_COMPLETED)
         for status in [status for status in self.calls if status in done]:
             call = self.calls.pop(status)
-            if call.endpoint is self.holder and (
-                status.result() > 0 or status.result() == CONNECTION_REFUSED
-            ):
-                self.holder_answered = True
+            if status.result() > 0 or status.result() == CONNECTION_REFUSED:
+                self.answered[call.endpoint.address, call.endpoint.port] = None
             if status.result() in RELEASED_STATUSES:
                 self.notify(lambda events, call=call: events.confirmed(call.engine_label))  # type: ignore[misc]
                 return True
--- a/heathford/soak/oracle.py
+++ b/heathford/soak/oracle.py
@@ -11,7 +11,7 @@
 
 from heathford.soak.plan import FaultKind
 from heathford.soak.records import Record, RecordKind
-from heathford.soak.relay import STEP_INTERVAL
+from heathford.soak.relay import CLOSE_DELAY, STEP_INTERVAL
 from heathford.soak.request_history import Attempt, StateStatus, StateChange, RequestHistory, build_histories
 
 ANSWER_SLACK = 0.5  # s past a client's deadline; an answer within it is worthless, but breaks no rule
@@ -406,9 +406,10 @@
             ]  # the engine has found no held state
         if attempt.outcome == "stream":
             return [StateChange(arrived_at, StateStatus.FREE, arrived_at)]
+        seen_at = history.end_seen_at(attempt, CLOSE_DELAY)
         in_flight = StateChange(arrived_at, StateStatus.IN_FLIGHT, arrived_at)
         return (
-            [in_flight, StateChange(attempt.ended_at, StateStatus.ATTEMPT_ENDED, attempt.ended_at)]
+            [in_flight, StateChange(seen_at, StateStatus.ATTEMPT_ENDED, attempt.ended_at)]
             if attempt.ended_at < inf
             else [in_flight]
         )
--- a/heathford/soak/relay.py
+++ b/heathford/soak/relay.py
@@ -15,6 +15,9 @@
 STEP_INTERVAL = 0.1  # s without reading; below STALLED_AFTER + PROGRESS_CHECK_INTERVAL of policy.transfer
 STEP_READ_TIME = 0.004  # s; enough to read some tens of kilobytes
 DELAY = 0.2  # s
+# s after the end of a front node's connection until its engine sees it, by which a release on another
+# connection may overtake it.
+CLOSE_DELAY = 0.01
 SILENCE_FAULTS = (
     FaultKind.LINK_SILENT,
     FaultKind.DISCOVERY_SILENT,
@@ -40,13 +43,18 @@
 class Relay:
     """Listens on a port and passes data on to `target_address`, subject to the active faults of the soak.
 
+    close_delay: s by which the end of a client's connection is passed on later than data.
     heathford.days.tap.Relay is a different class, with other faults.
     """
 
     def __init__(
-        self, target_address: Callable[[], tuple[str, int]], make_observer: Callable[[], ConnectionObserver]
+        self,
+        target_address: Callable[[], tuple[str, int]],
+        make_observer: Callable[[], ConnectionObserver],
+        close_delay: float = 0.0,
     ) -> None:
         self.target_address, self.make_observer = target_address, make_observer
+        self.close_delay = close_delay
         self.server: asyncio.Server | None = None
         self.port = 0
         self.active_faults: list[FaultKind] = []
@@ -137,8 +145,8 @@
             with suppress(RuntimeError):
                 writer.transport.resume_reading()  # type: ignore[attr-defined]
             await asyncio.gather(
-                self.pump(reader, target_writer, observer.sent, observer.closed),
-                self.pump(target_reader, writer, lambda data: None, lambda: None, observer.received),
+                self.pump(reader, target_writer, observer.sent, observer.closed, self.close_delay),
+                self.pump(target_reader, writer, lambda data: None, lambda: None, 0.0, observer.received),
             )
         except OSError:
             pass
@@ -172,12 +180,13 @@
         writer: asyncio.StreamWriter,
         on_data: Callable[[bytes], None],
         on_eof: Callable[[], None],
+        close_delay: float,
         on_forward: Callable[[bytes], None] = lambda data: None,
     ) -> None:
         received: asyncio.Queue[bytes] = asyncio.Queue()
         read_task = asyncio.create_task(read_all(reader, received, on_data, on_eof))
         try:
-            await self.forward(received, writer, on_forward)
+            await self.forward(received, writer, close_delay, on_forward)
         finally:
             read_task.cancel()
 
@@ -185,6 +194,7 @@
         self,
         received: "asyncio.Queue[bytes]",
         writer: asyncio.StreamWriter,
+        close_delay: float,
         on_forward: Callable[[bytes], None],
     ) -> None:
         """Write what was received, subject to the faults active at that time, up to the end of the stream."""
@@ -195,6 +205,7 @@
             if FaultKind.LINK_DELAY in self.active_faults or FaultKind.DISCOVERY_SLOW in self.active_faults:
                 await asyncio.sleep(DELAY)
             if not data:
+                await asyncio.sleep(close_delay)
                 if writer.can_write_eof():
                     writer.write_eof()
                 return
--- a/heathford/soak/request_history.py
+++ b/heathford/soak/request_history.py
@@ -88,6 +88,17 @@
             candidates = at_engine
         return next(iter(candidates or at_engine), None)
 
+    def end_seen_at(self, attempt: Attempt, close_delay: float) -> float:
+        """Return until when the engine of an attempt takes it for running, or a further one has arrived.
+
+        close_delay: s after which an engine sees the end of a connection. A release that it reads before
+        frees nothing.
+        """
+        if attempt.answered_at <= attempt.closed_at:
+            return attempt.ended_at
+        later = (other.delivered_at for other in self.attempts if other.delivered_at > attempt.ended_at)
+        return min(attempt.ended_at + close_delay, *later, inf)
+
     def add(self, record: Record) -> None:
         kind = record.kind
         if kind is RecordKind.ASKED:
--- a/heathford/soak/run.py
+++ b/heathford/soak/run.py
@@ -16,7 +16,7 @@
 from heathford.soak.oracle import Limits
 from heathford.soak.plan import FaultKind, Plan, Fault
 from heathford.soak.records import Record, RecordKind
-from heathford.soak.relay import Relay, ConnectionObserver
+from heathford.soak.relay import CLOSE_DELAY, ConnectionObserver, Relay
 from heathford.standin.platform import SECOND, DiscoveryAgent, settings
 
 ENGINE_COUNT = 10  # half of them prefill, in two zones
@@ -136,7 +136,11 @@
         server.boot_ms = boot_ms
         await server.open()
         port = int(server.address.rpartition(":")[2])
-        relay = Relay(lambda: ("127.0.0.1", port), lambda: EngineConnectionObserver(uid, self.add_record))
+        relay = Relay(
+            lambda: ("127.0.0.1", port),
+            lambda: EngineConnectionObserver(uid, self.add_record),
+            CLOSE_DELAY,
+        )
         await relay.listen()
         return RelayedEngine(server, relay)
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -350,6 +350,15 @@
         self.loop.turn()
         return client, accepted_request
 
+    def submit_named(self, name: str) -> tuple[RecordingClient, AcceptedRequest]:
+        """Have the core accept a request whose attempts all carry its own name."""
+        client = RecordingClient()
+        accepted_request = self.core.accept(
+            client, 0, 0, "s", "", 5000, 0, 100, 4.0, {"prompt": "x"}, name=name
+        )
+        self.loop.turn()
+        return client, accepted_request
+
     def complete_prefill(self) -> None:
         """End the last attempt as a successful prefill."""
         attempt = self.link.attempts[-1]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -157,6 +157,13 @@
         Record(10.6, RecordKind.GIVEN_UP, "", "c", "w"),
         *CLEAN[-1:],
     ],
+    "5 held, not freed by a release that overtakes the end of an attempt": [
+        *PREFILLED,
+        *attempt(10.1, "w", "")[:3],
+        Record(10.4, RecordKind.GIVEN_UP, "", "c", "w"),
+        Record(10.402, RecordKind.RELEASED, "", "c", "r"),
+        *CLEAN[-1:],
+    ],
     "5 held, left by a prefill attempt that succeeded after it was given up": [
         *LATE_PREFILL,
         *attempt(10.3, "r2", "full"),
@@ -275,6 +282,14 @@
             Record(10.4, RecordKind.LATE_EVENT, "n", "c", "", 0.9, "1.0"),
             Record(10.3, RecordKind.EVENT_ON_THE_WAY, "", "c", "w", 0.8, "1.0"),
         ],
+        [
+            *PREFILLED,
+            *attempt(10.1, "w", "")[:3],
+            Record(10.4, RecordKind.GIVEN_UP, "", "c", "w"),
+            Record(10.402, RecordKind.RELEASED, "", "c", "r"),
+            Record(10.504, RecordKind.RELEASED, "", "c", "w"),
+            *CLEAN[-1:],
+        ],
         [*LATE_PREFILL, Record(10.7, RecordKind.RELEASED, "", "c", "w"), *CLEAN[-1:]],
         [
             asked(),
