A stream whose engine still writes is not cut off

Callers saw: a long answer cut off while its engine was writing it: one event of 300 bytes or 30 kB over 6 s, each time.

Cause: silence counted from the last complete event instead of the last byte, in both links; and an event that comes in parts was malformed from 16 kB on, where one that came in one piece had no bound.

An event may be as long as a body.

The test that counts how much of an event is searched replaced the buffer by a counting bytes object; the buffer is a bytearray now, so the counter is one too, and the test also checks that it has counted.

--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -22,6 +22,7 @@
 )
 from heathford.engines.pools import ConnectionPool, ConnectionPools
 from heathford.engines.release_retries import NO_ANSWER, ReleaseRetries
+from heathford.engines.stream_progress import StreamProgress
 from heathford.wire.http1 import EventStream, MalformedMessageError, Response, encode_request
 from heathford.interface import Role, Outcome
 from heathford.policy.transfer import TransferRates
@@ -35,7 +36,7 @@
     """A `Link` for engines that speak the OpenAI completions API.
 
     connect_timeout: s. connections: at most, per engine. idle: s that an idle connection is kept.
-    stream_silence: s without a token after which a stream counts as dead. longest_line: bytes. pin_limit: s
+    stream_silence: s without a byte after which a stream counts as dead. longest_line: bytes. pin_limit: s
     within which prefill state has to be released. source: local address of connections, or empty. tls: for
     new connections, if any; an engine's certificate must have the engine's name in the endpoint list.
     """
@@ -190,7 +191,7 @@
         self.stream: IOStream | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.over = self.begun = False
-        self.last_token_at = 0.0  # s on the loop's clock
+        self.progress: StreamProgress | None = None  # of the stream, from its first token on
         self.load: dict[str, float] = {}
 
     def cancel(self) -> None:
@@ -272,6 +273,8 @@
             data = await stream.read_bytes(READ_BYTES, partial=True)
             if self.over:
                 return
+            if self.progress:
+                self.progress.received(asyncio.get_running_loop().time(), ended_event=False)
             for part in response.feed(data):
                 if response.status != 200 or "event-stream" not in response.headers.get("content-type", ""):
                     body += part
@@ -310,9 +313,11 @@
             )
 
     def on_token(self, text: str) -> None:
-        self.last_token_at = asyncio.get_running_loop().time()
-        if not self.begun:
-            self.begun = True
+        now = asyncio.get_running_loop().time()
+        if self.progress:
+            self.progress.received(now, ended_event=True)
+        else:
+            self.begun, self.progress = True, StreamProgress(self.link.stream_silence, now)
             self.events.first_token()
             if not self.over:
                 self.schedule_silence_check(self.link.stream_silence)
@@ -325,7 +330,8 @@
         self.timer = asyncio.get_running_loop().call_later(seconds, self.check_silence)
 
     def check_silence(self) -> None:
-        left = self.last_token_at + self.link.stream_silence - asyncio.get_running_loop().time()
+        assert self.progress
+        left = self.progress.time_left(asyncio.get_running_loop().time())
         if left <= 0.0:
             self.end(Outcome.TIMED_OUT)
         elif not self.over:
--- a/heathford/platform/answers.py
+++ b/heathford/platform/answers.py
@@ -10,15 +10,16 @@
 from heathford.interface import Outcome
 from heathford.wire.http1 import MalformedMessageError, Response, json_object
 
-# Bytes of a head, a chunk-size line, one event or the answer to a release: engines send a few hundred.
+# Bytes of a head, a chunk-size line or the answer to a release: engines send a few hundred.
 LONGEST_LINE = 16_384
-LONGEST_BODY = 262_144  # bytes of a body or a chunk: the protocol's limit
+LONGEST_BODY = 262_144  # bytes of a body, a chunk or an event: the protocol's limit
 REJECTED_HEADER = "x-rejected"  # set by an engine that has not started the request
 REJECTION_DETAILS = {
     503: 0,
     504: 0,
     410: 1,
 }  # status with that header -> detail; 1: could not fetch the prefill state
+DATA_FIELD = b"data:"
 DONE_EVENT = b"data: [DONE]"
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 LONGEST_EVENT_END = max(map(len, EVENT_ENDS))
@@ -32,7 +33,7 @@
     """
 
     def __init__(self) -> None:
-        self.buffer = b""
+        self.buffer = bytearray()
         self.started = self.finished = False
         self.cached_tokens = 0  # prompt tokens that the engine found in its cache
 
@@ -40,10 +41,11 @@
         """Return the bytes of all events that are now complete. Raises MalformedMessageError."""
         end_of_events = self.find_end(part)
         if len(self.buffer) - end_of_events > LONGEST_LINE:
-            raise MalformedMessageError("an event is too long")
+            self.check_incomplete_event(end_of_events)
         if not end_of_events:
             return b""
-        complete, self.buffer = self.buffer[:end_of_events], self.buffer[end_of_events:]
+        complete = bytes(self.buffer[:end_of_events])
+        del self.buffer[:end_of_events]
         if self.finished:
             raise MalformedMessageError("an event follows the last one")
         if not self.started:
@@ -68,12 +70,17 @@
                 end_of_events = max(end_of_events, place + len(event_end))
         return end_of_events
 
+    def check_incomplete_event(self, start: int) -> None:
+        """Raise MalformedMessageError if what was received of an event is too long, or can't be one."""
+        if len(self.buffer) - start > LONGEST_BODY or not self.buffer.startswith(DATA_FIELD, start):
+            raise MalformedMessageError("an event is too long")
+
     def check_first_event(self, complete: bytes) -> None:
         """Raise MalformedMessageError unless the first event is a completion chunk."""
         first = complete.lstrip(b"\r\n").split(b"\n", 1)[0]
-        if not first.startswith(b"data:"):
+        if not first.startswith(DATA_FIELD):
             raise MalformedMessageError("the stream does not begin with an event")
-        if not isinstance(json_object(first[5:]).get("choices"), list):
+        if not isinstance(json_object(first.removeprefix(DATA_FIELD)).get("choices"), list):
             raise MalformedMessageError("an event has no choices")
 
 
--- a/heathford/platform/engine_call.py
+++ b/heathford/platform/engine_call.py
@@ -4,6 +4,7 @@
 from typing import TYPE_CHECKING
 
 from heathford.core.protocols import Arrival, CallEvents, Endpoint
+from heathford.engines.stream_progress import StreamProgress
 from heathford.interface import PART_ARRIVED, Role, Outcome
 from heathford.platform.answers import Answer
 from heathford.platform.exchange import EngineConnection, Exchange
@@ -14,7 +15,7 @@
 if TYPE_CHECKING:
     from heathford.platform.link import PlatformLink
 
-STREAM_SILENCE_LIMIT = 4.0  # s without an event, after which a stream has failed: clients wait for 5 s
+STREAM_SILENCE_LIMIT = 4.0  # s without a byte, after which a stream has failed: clients wait for 5 s
 PREFILL_ANSWER_TIMEOUT = 0.1  # s for the rest of a prefill engine's answer, which has some 100 bytes
 NO_BODY = ("", b"")  # in place of a request's target and body that are not needed any more
 # Outcomes after which an attempt may go on at its engine, which has not seen the end of the connection yet.
@@ -47,8 +48,7 @@
         self.may_hold_state = waits_for_state or endpoint.role is Role.PREFILL
         self.name, self.body, self.idempotency_key, self.events = name, body, idempotency_key, events
         self.answer = Answer(endpoint.role is Role.PREFILL)
-        self.last_event_at = 0.0  # s on the loop's clock
-        self.stream_started = False  # at least one event was received
+        self.stream: StreamProgress | None = None  # from its first event on
         self.prefill_answer_started = False  # part of a prefill engine's answer was received
         self.transfer: Send | None = None  # until the last byte is acknowledged
 
@@ -198,12 +198,14 @@
             self.link.report_malformed_answer(self.endpoint, error)
             self.end(Outcome.ERROR)
             return
+        now = self.loop.time()
+        if self.stream:
+            self.stream.received(now, ended_event=bool(events))
+        elif events:
+            self.stream = StreamProgress(STREAM_SILENCE_LIMIT, now)
+            self.events.first_token()
+            self.set_timer(STREAM_SILENCE_LIMIT, self.check_stream_progress)
         if events:
-            self.last_event_at = self.loop.time()
-            if not self.stream_started:
-                self.stream_started = True
-                self.events.first_token()
-                self.set_timer(STREAM_SILENCE_LIMIT, self.check_stream_silence)
             self.events.tokens(events)
         if done:
             self.end(outcome, detail, keep_alive=self.answer.keep_alive)
@@ -221,10 +223,16 @@
         time_left = self.expires_at - self.loop.time()
         self.set_timer(max(0.0, min(PREFILL_ANSWER_TIMEOUT, time_left)), self.on_timeout)
 
-    def check_stream_silence(self) -> None:
-        """End the attempt after a long silence, else check again: one timer per stream, not one per event."""
-        time_left = self.last_event_at + STREAM_SILENCE_LIMIT - self.loop.time()
+    def check_stream_progress(self) -> None:
+        """End a stream that has failed, else check again: one timer per stream, not one per event."""
+        assert self.stream
+        time_left = self.stream.time_left(self.loop.time())
         if time_left <= 0.0:
             self.end(Outcome.TIMED_OUT)
         else:
-            self.set_timer(time_left, self.check_stream_silence)
+            self.set_timer(time_left, self.check_stream_progress)
+
+    @property
+    def stream_started(self) -> bool:
+        """Whether at least one event was received."""
+        return self.stream is not None
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -343,3 +343,31 @@
 
     asyncio.run(run())
     assert outcomes == [Outcome.PREFILLED]
+
+
+def test_a_token_that_is_written_slowly_is_no_silence() -> None:
+    """Silence counted from the last complete token: a stream was cut off while its engine still wrote."""
+    recorded = RecordedCallEvents()
+    parts = [HEAD + chunked(TOKEN)[: -len(b"0\r\n\r\n")]]
+    parts += [b"1\r\n%c\r\n" % byte for byte in TOKEN[:8]]
+    parts += [chunked(TOKEN[8:], LAST, DONE)]
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        for part in parts:
+            writer.write(part)
+            await asyncio.sleep(0.05)
+        writer.close()
+
+    async def run() -> None:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        link = make_link()
+        endpoint = Endpoint(1, "e", Role.DECODE, "127.0.0.1", port)
+        link.send(endpoint, "c.0", {"prompt": "x"}, None, "", 0.3, recorded)
+        await asyncio.wait_for(recorded.over.wait(), 5.0)
+        link.stop()
+        server.close()
+
+    asyncio.run(run())
+    assert recorded.outcome is Outcome.FINISHED
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -190,7 +190,7 @@
     """Each chunk had the whole buffer searched again: a second for 270 kB in chunks of one byte."""
     searched = 0
 
-    class CountedBytes(bytes):
+    class CountedBytes(bytearray):
         def rfind(self, sub: Any, start: Any = None, end: Any = None) -> int:
             nonlocal searched
             searched += len(self) - (start or 0)
@@ -201,15 +201,28 @@
             searched += len(self)
             return super().__contains__(sub)
 
-        def __add__(self, other: Any) -> "CountedBytes":
-            return CountedBytes(super().__add__(other))
-
-        def __getitem__(self, key: Any) -> Any:
-            item = super().__getitem__(key)
-            return CountedBytes(item) if isinstance(item, bytes) else item
-
     stream = EventStream()
     stream.buffer = CountedBytes()
     event = EVENTS[0][:-2] + b" " * 4_000 + b"\n\n"
     passed_on = b"".join(stream.feed(bytes([byte])) for byte in event)
-    assert passed_on == event and searched < 20 * len(event)
+    assert passed_on == event and len(event) < searched < 20 * len(event)
+
+
+@pytest.mark.parametrize("part_size", [1, 700, 200_000])
+def test_an_event_may_be_as_long_in_parts_as_in_one_piece(part_size: int) -> None:
+    """One of 30 kB that its engine wrote in parts counted as malformed: the stream was cut off."""
+    long_event = EVENTS[0].replace(b"ab", b"x" * 30_000)
+    data = STREAM_UNTIL_CLOSE + long_event + b"".join(EVENTS[1:])
+    answer, passed_on = Answer(False), b""
+    for offset in range(0, len(data), part_size):
+        passed_on += answer.feed(data[offset : offset + part_size])
+    assert passed_on == long_event + b"".join(EVENTS[1:])
+
+
+def test_an_event_longer_than_a_body_may_be_is_malformed() -> None:
+    """Without a bound an engine that never ends an event would fill the memory."""
+    answer = Answer(False)
+    answer.feed(STREAM_UNTIL_CLOSE + EVENTS[0])
+    with pytest.raises(MalformedMessageError):
+        for _ in range(70):
+            answer.feed(b"x" * 4_096)
--- /dev/null
+++ b/tests/test_slow_streams.py
@@ -0,0 +1,68 @@
+"""Streams that an engine writes slowly, and streams that have failed."""
+
+import asyncio
+from pathlib import Path
+
+import pytest
+from raw_peers import FrontSetup, run_scenario, until
+
+from heathford.engines.stream_progress import MAX_EVENT_TIME, StreamProgress
+from heathford.platform import engine_call
+from heathford.standin.platform import EVENTS, STREAM, chunk
+
+MAX_SILENCE = 0.25  # s, instead of STREAM_SILENCE_LIMIT
+PART_INTERVAL = 0.1  # s
+WRITING_TIME = 3 * MAX_SILENCE  # s
+
+
+@pytest.mark.parametrize("event_bytes", [300, 30_000])
+def test_an_event_that_is_written_slowly_is_no_silence(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, event_bytes: int
+) -> None:
+    """Silence counted from the last complete event: a stream was cut off while its engine still wrote."""
+    monkeypatch.setattr(engine_call, "STREAM_SILENCE_LIMIT", MAX_SILENCE)
+    long_event = EVENTS[0].replace(b"ab", b"x" * event_bytes)
+    part_bytes = 1 + len(long_event) * PART_INTERVAL // WRITING_TIME
+
+    async def scenario(setup: FrontSetup) -> None:
+        client = setup.client()
+        connection = await setup.submit_until_decode(client)
+        connection.sock.sendall(STREAM + chunk(EVENTS[0]))
+        for start in range(0, len(long_event), int(part_bytes)):
+            connection.sock.sendall(chunk(long_event[start : start + int(part_bytes)]))
+            await asyncio.sleep(PART_INTERVAL)
+        connection.sock.sendall(b"".join(map(chunk, EVENTS[1:])) + b"0\r\n\r\n")
+        await until(lambda: client.whole_streams == 1, "the whole stream")
+        assert long_event in client.read_available()
+
+    run_scenario(tmp_path, scenario)
+
+
+@pytest.mark.parametrize("last_bytes", [b"", b"data: {"])
+def test_a_stream_whose_engine_is_silent_is_ended(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, last_bytes: bytes
+) -> None:
+    """A client must not wait for an engine that hangs, also not in the middle of an event."""
+    monkeypatch.setattr(engine_call, "STREAM_SILENCE_LIMIT", MAX_SILENCE)
+
+    async def scenario(setup: FrontSetup) -> None:
+        client = setup.client()
+        connection = await setup.submit_until_decode(client)
+        connection.sock.sendall(STREAM + chunk(EVENTS[0] + last_bytes))
+        started = asyncio.get_running_loop().time()
+        await client.wait_until_closed()
+        assert asyncio.get_running_loop().time() - started < MAX_SILENCE + 0.2
+        assert client.whole_streams == 0
+
+    run_scenario(tmp_path, scenario)
+
+
+def test_a_stream_that_never_ends_its_event_fails_at_last() -> None:
+    """An engine that writes a byte now and then would hold its client for good."""
+    progress, now = StreamProgress(4.0, 0.0), 0.0
+    while progress.time_left(now) > 0.0:
+        now += min(1.0, progress.time_left(now))
+        progress.received(now, ended_event=False)
+    assert now == MAX_EVENT_TIME
+    progress.received(now, ended_event=True)
+    assert progress.time_left(now) == 4.0
