A name whose request may have run is not accepted again

Cause: only unanswered requests were known by name. It was free as the client left or had its answer, while an attempt might still be running at an engine, or had had its effect.

Fix: RequestNames. A name is taken until the core forgets its request, and known for 60 s after it if an engine may still be at an attempt that was given up or, where an effect may not happen twice, if one may have run. Bounded in number and by an eighth of the memory budget, and charged.

--- a/heathford/core/accepted_request.py
+++ b/heathford/core/accepted_request.py
@@ -10,7 +10,7 @@
 from heathford.core.gate import Event, Reason, RequestLifecycle
 from heathford.core.held_state import ReleaseReason
 from heathford.core.prefill_state import PrefillState
-from heathford.interface import Outcome, Workload
+from heathford.interface import ANSWERED_BY_ENGINE, NEVER_RAN, Effect, Outcome, Workload
 from heathford.policy import RequestState
 
 if TYPE_CHECKING:
@@ -40,7 +40,7 @@
         idempotency_key: str,
         answer_deadline: float,
         workload: Workload,
-        on_removed: Callable[[], None],
+        on_removed: Callable[["AcceptedRequest"], None],
     ) -> None:
         self.core, self.response_writer, self.name, self.body, self.idempotency_key = (
             core,
@@ -258,7 +258,18 @@
             self.routed_request = None
             self.prefill = PrefillState()
             self.attempts.clear()
-        self.on_removed()
+        self.on_removed(self)
+
+    @property
+    def forbids_repeat(self) -> bool:
+        """Whether the same request must not be accepted again, once this one is over.
+
+        An engine may still be at an attempt that was given up, or the effect may happen a second time.
+        """
+        outcomes = {attempt.outcome for attempt in self.lifecycle.attempts} - NEVER_RAN
+        if self.lifecycle.workload.effect is Effect.IDEMPOTENT:
+            return not outcomes <= ANSWERED_BY_ENGINE
+        return bool(outcomes)
 
     @property
     def is_removable(self) -> bool:
--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -169,7 +169,7 @@
         name: str = "",
         answer_hint: float = 0.0,
         size: int = 0,
-        on_removed: Callable[[], None] = lambda: None,
+        on_removed: Callable[[AcceptedRequest], None] = lambda request: None,
     ) -> AcceptedRequest:
         """Accept a request; its final answer goes to the response writer before the client's deadline.
 
--- a/heathford/platform/client_connection.py
+++ b/heathford/platform/client_connection.py
@@ -17,6 +17,7 @@
 from heathford.platform.eviction import Idleness
 from heathford.platform.parse_turns import ParseTurns
 from heathford.platform.request_acceptance import READ_HEADERS, accept_request
+from heathford.platform.request_names import RequestNames
 from heathford.platform.responses import CLOSE_HEADER, STREAM_HEAD, full_response
 from heathford.wire.memory_budget import MemoryBudget, MemoryCharge
 from heathford.wire.request_reader import DiscardedRequest, ReadFailure, ReceivedRequest, RequestReader
@@ -37,7 +38,7 @@
 class ConnectionServer(Protocol):
     """What a connection needs of the server that accepted it.
 
-    open_requests: unanswered requests by their X-Call-Id. memory: shared by requests and answers of all
+    request_names: X-Call-Ids that are in use or were lately. memory: shared by requests and answers of all
     connections. refused: rejected requests by status.
     refuse_from: when new requests start to be refused, in seconds on the event loop's clock.
     """
@@ -46,7 +47,7 @@
     workloads: Mapping[str, int]
     loop: asyncio.AbstractEventLoop
     connections: "dict[ClientConnection, None]"
-    open_requests: dict[str, AcceptedRequest]
+    request_names: RequestNames
     memory: MemoryBudget
     parse_turns: ParseTurns
     refused: Counter[int]
@@ -210,12 +211,17 @@
         """
         server, charge = self.server, MemoryCharge(self.server.memory)
         self.head_sent = False
+
+        def on_removed(removed: AcceptedRequest) -> None:
+            charge.release()
+            server.request_names.request_removed(removed.name, removed.forbids_repeat, server.loop.time())
+
         self.accepted_request = accept_request(
-            server.core, self, request, server.workloads, server.open_requests, started_at, charge.release
+            server.core, self, request, server.workloads, server.request_names, started_at, on_removed
         )
         charge.set(OPEN_REQUEST_BYTES + request.size)
         self.request_name = request.headers["x-call-id"]
-        server.open_requests[self.request_name] = self.accepted_request
+        server.request_names.request_opened(self.request_name)
         server.connection_changed(self)
 
     def refuse(self, exc: RequestError, keep_alive: bool) -> None:
@@ -232,7 +238,6 @@
 
     def clear_request(self) -> None:
         """Forget the open request, once its final answer is due or its client is gone."""
-        self.server.open_requests.pop(self.request_name, None)
         self.accepted_request, self.request_name = None, ""
 
     # Answers.
--- a/heathford/platform/client_server.py
+++ b/heathford/platform/client_server.py
@@ -8,10 +8,10 @@
 
 import structlog
 
-from heathford.core.accepted_request import AcceptedRequest
 from heathford.core.core import Core
 from heathford.platform.client_connection import ClientConnection
 from heathford.platform.eviction import EvictionQueues
+from heathford.platform.request_names import RequestNames
 from heathford.platform.parse_turns import ParseTurns
 from heathford.wire.memory_budget import MemoryBudget
 
@@ -45,7 +45,7 @@
         self.loop = asyncio.get_running_loop()
         self.connections: dict[ClientConnection, None] = {}
         self.eviction_queues = EvictionQueues[ClientConnection]()
-        self.open_requests: dict[str, AcceptedRequest] = {}  # by X-Call-Id
+        self.request_names = RequestNames(memory)
         self.stopping = False
         self.refuse_from = inf  # on the event loop's clock: new requests are refused from then on
         self.refused: Counter[int] = Counter()  # requests that the core never saw, by response status
--- a/heathford/platform/request_acceptance.py
+++ b/heathford/platform/request_acceptance.py
@@ -9,6 +9,7 @@
 from heathford.core.accepted_request import AcceptedRequest
 from heathford.core.core import Core
 from heathford.core.protocols import ResponseWriter
+from heathford.platform.request_names import RequestNames
 from heathford.wire.http1 import MalformedMessageError, json_object
 from heathford.wire.requests import ParsedRequest, RequestError
 
@@ -53,15 +54,15 @@
     response_writer: ResponseWriter,
     request: ParsedRequest,
     workloads: Mapping[str, int],
-    open_requests: Mapping[str, AcceptedRequest],
+    names: RequestNames,
     received: float,
-    on_removed: Callable[[], None],
+    on_removed: Callable[[AcceptedRequest], None],
 ) -> AcceptedRequest:
     """Validate the request and have the core accept it.
 
     Raises RequestError before the core has seen any of it. workloads: index of each workload by its name.
-    open_requests: unanswered requests of this front node by their X-Call-Id. received: when the client's
-    budget starts, in seconds on the event loop's clock. on_removed: see `Core.accept`.
+    names: those that a request may not have. received: when the client's budget starts, in seconds on the
+    event loop's clock. on_removed: see `Core.accept`.
     """
     if request.target.partition("?")[0] != COMPLETIONS_PATH:
         raise RequestError(404, "nothing here")
@@ -74,9 +75,10 @@
     name = headers.get("x-call-id", "")
     if not CALL_ID_PATTERN.fullmatch(name):
         raise RequestError(400, "no X-Call-Id that can be read")
-    if name in open_requests:
-        # Two requests under one name would release each other's prefill state.
-        raise RequestError(409, "a completion of this id is open")
+    if names.is_taken(name, core.loop.time()):
+        # Two requests under one name would release each other's prefill state, and one that came again after
+        # its client had left would run twice.
+        raise RequestError(409, "a completion of this id is open, or was lately")
     workload = workloads.get(headers.get("x-call-class", ""))
     if workload is None:
         raise RequestError(400, "no such X-Call-Class")
