--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -8,8 +8,7 @@
 import socket
 import time
 from collections.abc import Callable, Mapping
-from dataclasses import asdict, dataclass
-from itertools import islice
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -21,10 +20,9 @@
 from heathford.discovery.follower import ListChange
 from heathford.early_signals import EARLY_SIGNALS
 from heathford.fleet.endpoint_list import EndpointList
-from heathford.interface import Health
-from heathford.log_stream import LOG_STREAM
 from heathford.platform.client_server import SHUTDOWN_ACCEPT_PERIOD, SWEEP_INTERVAL, ClientServer
 from heathford.platform.link import PlatformLink
+from heathford.platform.node_log import NodeLog
 from heathford.platform.memory import DEFAULT_REQUEST_BYTES, request_bytes, resident_bytes
 from heathford.platform.reload import ConfigurationReload
 from heathford.platform.signals import handled_signals
@@ -63,9 +61,6 @@
 # discovery is down. That is time for more than two calls; a start may take 10 s.
 FIRST_LIST_TIMEOUT = 0.5
 LIST_RETRY_DELAY = 0.5  # s, after a list change failed to apply, until the whole list is requested
-MAX_LOGGED_REASONS = 40  # the most frequent ones, in a state line
-MAX_LOGGED_ENGINES = 40  # of each kind, in a line on a change of the endpoint list
-STATE_LOG_INTERVAL = 5.0  # s
 
 log = structlog.get_logger()
 
@@ -147,7 +142,7 @@
         self.server: asyncio.Server | None = None
         self.reload = ConfigurationReload(self.loop, path, self.apply_configuration).start
         self.sweeps = 0
-        self.lag = 0.0  # s: the longest delay of the event loop since the last state line
+        self.log = NodeLog(self.core, self.link, self.clients, self.endpoint_list)
 
     async def start(self) -> None:
         """Load the endpoint list and open the listening socket, unless told to end. Raises StartError."""
@@ -178,7 +173,7 @@
         sock.listen(LISTEN_BACKLOG)
         self.listen = sock.getsockname()[:2]
         self.sweep()
-        self.log_state()
+        self.log.state()
 
     async def open_listening_socket(self) -> socket.socket | None:
         """Return the listening socket, or None if the process is told to end first.
@@ -202,28 +197,9 @@
 
     def on_list_change(self, change: ListChange) -> None:
         """Hand a change of the endpoint list to the core."""
-        self.log_list_change(change)
+        self.log.list_changed(change)
         self.core.apply_endpoint_list(change.complete, change.entries)
 
-    def log_list_change(self, change: ListChange) -> None:
-        """Log which engines now drain, are gone, or are in slow start, with their age in s."""
-        now, warm_after = self.loop.time(), self.core.router.slow_start.warm_after
-        leaving: dict[str, str] = {}
-        cold: dict[str, float] = {}
-        for endpoint, _zone, _kind, _cell, health, _size, started in change.entries:
-            if health is not Health.ON:
-                leaving[endpoint.name] = health.value
-            elif started and now - started < warm_after:
-                cold[endpoint.name] = round(now - started, 3)
-        log.info(
-            "endpoint list",
-            version=self.endpoint_list.version,
-            complete=change.complete,
-            entries=len(change.entries),
-            leaving=dict(islice(leaving.items(), MAX_LOGGED_ENGINES)),
-            cold=dict(islice(cold.items(), MAX_LOGGED_ENGINES)),
-        )
-
     def request_list_later(self) -> None:
         """Schedule a request for the whole list: the last change was applied only in part."""
         self.loop.call_later(LIST_RETRY_DELAY, self.watch.start)
@@ -236,67 +212,13 @@
         now = self.loop.time()
         # Scheduled before anything else: an exception below must not end the sweeps.
         self.loop.call_at(now + SWEEP_INTERVAL, self.sweep, now + SWEEP_INTERVAL)
-        self.lag = max(self.lag, now - due if due else 0.0)
+        self.log.loop_lagged(now - due if due else 0.0)
         self.clients.sweep(now)
         self.link.pools.close_expired(now)
         self.sweeps += 1
         if self.sweeps % SWEEPS_PER_COLLECTION == 0:
             gc.collect()
 
-    def log_state(self) -> None:
-        """Log this front node's counters, to be compared with the traffic on its sockets; repeats itself.
-
-        taken: accepted requests; left: those whose client left; late: those that ran past their deadline;
-        faults: decisions that raised; live: open requests; out: evicted client connections; spoilt: malformed
-        answers of engines; request_bytes: memory charged to clients' requests and answers, at most
-        max_request_bytes; gate: refusals of the gate, by reason; cold: engines in slow start now, and
-        attempts sent to such since the process started.
-        """
-        tally, router = self.core.tally, self.core.router
-        log.info(
-            "state",
-            taken=tally.taken,
-            finished=tally.finished,
-            limited=tally.rate_limited,
-            aborted=tally.aborted,
-            left=tally.left,
-            late=tally.late,
-            faults=tally.faults,
-            live=len(self.core.live),
-            clients=len(self.clients.connections),
-            out=self.clients.evicted,
-            refused=dict(self.clients.refused),
-            ends={v.value: n for v, n in self.link.outcomes.items()},
-            spoilt=self.link.malformed_answers,
-            unreleased=self.link.failed_releases,
-            engines=len(router.engines),
-            cold={"engines": router.cold_engine_count, "attempts": router.slow_start.attempts_sent},
-            conns=self.link.pools.open,
-            version=self.endpoint_list.version,
-            lag=round(self.lag, 3),
-            held=self.core.held_state_summary(),
-            violations={rule.name: n for rule, n in self.core.gate.violations.items()},
-            gate={reason.name: n for reason, n in self.core.gate.refused.items()},
-            reasons={
-                ": ".join(key): n for key, n in self.core.history.reasons.most_common(MAX_LOGGED_REASONS)
-            },
-            logs_dropped=LOG_STREAM.dropped,
-            mb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss // 1024,
-            request_bytes=self.clients.memory.used_bytes,
-            max_request_bytes=self.clients.memory.max_bytes,
-            cpu=round(time.process_time(), 2),
-        )
-        self.lag = 0.0
-        self.loop.call_later(STATE_LOG_INTERVAL, self.log_state)
-
-    def log_history(self) -> None:
-        """Log the history of the last requests, with monotonic and wall-clock time; for SIGUSR1."""
-        wall_ahead = time.time() - self.loop.time()
-        for record in self.core.history.newest():
-            fields = asdict(record)
-            fields["what"] = fields.pop("event")  # `event` is structlog's key for the message
-            log.info("history", wall=round(record.time + wall_ahead, 3), **fields)
-
     def apply_configuration(self, configuration: Mapping[str, Any]) -> None:
         """Follow discovery at the address in the configuration; for SIGHUP.
 
@@ -395,7 +317,7 @@
         signal.SIGTERM: node.terminate,
         signal.SIGINT: node.terminate,
         signal.SIGHUP: node.reload,
-        signal.SIGUSR1: node.log_history,
+        signal.SIGUSR1: node.log.history,
     }
     with handled_signals(loop, handlers):
         for number in EARLY_SIGNALS.received:
