--- a/heathford/core/accepted_request.py
+++ b/heathford/core/accepted_request.py
@@ -256,7 +256,7 @@
         """
         if self.routed_request is None or self.routed_request.is_done:
             self.routed_request = None
-            self.prefill = PrefillState()
+            self.prefill.forget_attempts()
             self.attempts.clear()
         self.on_removed(self)
 
--- a/heathford/core/core.py
+++ b/heathford/core/core.py
@@ -46,6 +46,16 @@
         self.taken = self.finished = self.rate_limited = self.aborted = self.left = 0
         self.faults = self.late = 0  # decisions that raised; requests the router let run past their deadline
 
+    def ends(self) -> dict[str, int]:
+        """Return how many requests were accepted, and how those that are over have ended, for a log line."""
+        return {
+            "taken": self.taken,
+            "finished": self.finished,
+            "rate_limited": self.rate_limited,
+            "aborted": self.aborted,
+            "left": self.left,
+        }
+
 
 class Core:
     """The requests, attempts and router of one front node.
--- a/heathford/core/prefill_state.py
+++ b/heathford/core/prefill_state.py
@@ -62,3 +62,7 @@
         """Return and forget the prefill attempt whose state may be held; None if it is the last attempt."""
         attempt, self.unclear_attempt = self.unclear_attempt, None
         return None if attempt is last else attempt
+
+    def forget_attempts(self) -> None:
+        """Let go of all attempts: the request is over, and nothing is released for it any more."""
+        self.source = self.released_source = self.unclear_attempt = None
--- a/heathford/front/process.py
+++ b/heathford/front/process.py
@@ -275,11 +275,7 @@
         tally = self.core.tally
         log.info(
             "stopped",
-            taken=tally.taken,
-            finished=tally.finished,
-            rate_limited=tally.rate_limited,
-            aborted=tally.aborted,
-            left=tally.left,
+            **tally.ends(),
             first_tries=self.session_server.manager.repeat_counter.first_requests,
             tries_again=self.session_server.manager.repeat_counter.repeats,
             faults=tally.faults,
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -281,15 +281,7 @@
             self.server.close()
         self.watch.stop()
         self.link.stop()
-        tally = self.core.tally
-        log.info(
-            "ended",
-            taken=tally.taken,
-            finished=tally.finished,
-            rate_limited=tally.rate_limited,
-            aborted=tally.aborted,
-            left=tally.left,
-        )
+        log.info("ended", **self.core.tally.ends())
 
 
 def log_unhandled(loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
--- a/tests/test_repeat_beside_silence.py
+++ b/tests/test_repeat_beside_silence.py
@@ -1,6 +1,7 @@
 """No idempotency-keyed request runs twice because engines stop reading for a while."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from time import monotonic
 
@@ -13,8 +14,9 @@
     prefill,
     readable,
     request,
+    run_scenario,
+    until,
 )
-from raw_peers import run_scenario, until
 from test_repeat_read_late import WINDOW, add_keyed_class
 
 from heathford.standin.platform import PREFILL_RESPONSE
@@ -76,6 +78,21 @@
     )
 
 
+def run_keyed_scenario(
+    tmp_path: Path, scenario: Callable[[FrontSetup], Awaitable[None]], **limits: int
+) -> None:
+    """Run a scenario with two decode engines and a class with idempotency keys; limits: of the policy."""
+    run_scenario(
+        tmp_path,
+        scenario,
+        prefill(),
+        decode("w"),
+        decode("w2"),
+        change_settings=add_keyed_class,
+        **limits,
+    )
+
+
 def test_no_retry_lies_unread_at_a_stopped_engine_while_the_first_engine_runs(tmp_path: Path) -> None:
     """The first engine has run it and its answer is lost; the engine of a retry is stopped."""
 
@@ -97,15 +114,7 @@
                     await asyncio.sleep(0.005)
             assert stopped.posts == before
 
-    run_scenario(
-        tmp_path,
-        scenario,
-        prefill(),
-        decode("w"),
-        decode("w2"),
-        change_settings=add_keyed_class,
-        tryLimit=TRY_LIMIT,
-    )
+    run_keyed_scenario(tmp_path, scenario, tryLimit=TRY_LIMIT)
 
 
 def test_no_retry_while_the_first_attempt_lies_unread(tmp_path: Path) -> None:
@@ -135,7 +144,7 @@
             assert other.posts == before
             await client.wait_for_answers(2)
 
-    run_scenario(tmp_path, scenario, prefill(), decode("w"), decode("w2"), change_settings=add_keyed_class)
+    run_keyed_scenario(tmp_path, scenario)
 
 
 def test_no_retry_though_all_engines_resume_in_time(tmp_path: Path) -> None:
@@ -157,7 +166,7 @@
                 await asyncio.sleep(WINDOW / 3)
                 assert [decode_engine.posts for decode_engine in decode_engines] == before
 
-    run_scenario(tmp_path, scenario, prefill(), decode("w"), decode("w2"), change_settings=add_keyed_class)
+    run_keyed_scenario(tmp_path, scenario)
 
 
 def test_no_retry_where_the_first_engine_is_gone(tmp_path: Path) -> None:
@@ -179,7 +188,7 @@
                 await asyncio.sleep(WINDOW / 3)
                 assert other.posts == before
 
-    run_scenario(tmp_path, scenario, prefill(), decode("w"), decode("w2"), change_settings=add_keyed_class)
+    run_keyed_scenario(tmp_path, scenario)
 
 
 def test_no_retry_is_read_late_by_an_engine_that_stops_right_after_its_answer(tmp_path: Path) -> None:
@@ -206,12 +215,4 @@
                     await asyncio.sleep(0.005)
             assert other.posts == before
 
-    run_scenario(
-        tmp_path,
-        scenario,
-        prefill(),
-        decode("w"),
-        decode("w2"),
-        change_settings=add_keyed_class,
-        tryLimit=TRY_LIMIT,
-    )
+    run_keyed_scenario(tmp_path, scenario, tryLimit=TRY_LIMIT)
