--- a/heathford/core/accepted_request.py
+++ b/heathford/core/accepted_request.py
@@ -10,7 +10,7 @@
 from heathford.core.gate import Event, Reason, RequestLifecycle
 from heathford.core.held_state import ReleaseReason
 from heathford.core.prefill_state import PrefillState
-from heathford.interface import ANSWERED_BY_ENGINE, NEVER_RAN, Effect, Outcome, Workload
+from heathford.interface import Outcome, Workload
 from heathford.policy import RequestState
 
 if TYPE_CHECKING:
@@ -129,7 +129,7 @@
         """
         holder = self.prefill.start_release()
         if holder:
-            if not self.over and any(attempt.gate_attempt.may_have_run for attempt in self.attempts):
+            if not self.over and self.lifecycle.possibly_run_attempts():
                 # One of them may wait on the state at its engine, and keep it from this release.
                 self.prefill.unclear_attempt = holder
             self.release_from(holder, reason)
@@ -187,9 +187,9 @@
         """Release once more what a prefill attempt may have left since, or a decode attempt have kept.
 
         Its engine may end the prefill after the first release, or a decode attempt that was given up may have
-        waited on the state then, while the request went on elsewhere. Called
-        only once a later attempt streams or the request is over: earlier, a release by the shared name could
-        take the state that the later attempt needs. Costs one release where a further attempt followed.
+        waited on the state then, while the request went on elsewhere. Called only once a later attempt
+        streams or the request is over: earlier, a release by the shared name could take the state that the
+        later attempt needs. Costs one release where a further attempt followed.
         """
         if not self.prefill.unclear_attempt:
             return
@@ -260,17 +260,6 @@
             self.attempts.clear()
         self.on_removed(self)
 
-    @property
-    def forbids_repeat(self) -> bool:
-        """Whether the same request must not be accepted again, once this one is over.
-
-        An engine may still be at an attempt that was given up, or the effect may happen a second time.
-        """
-        outcomes = {attempt.outcome for attempt in self.lifecycle.attempts} - NEVER_RAN
-        if self.lifecycle.workload.effect is Effect.IDEMPOTENT:
-            return not outcomes <= ANSWERED_BY_ENGINE
-        return bool(outcomes)
-
     @property
     def is_removable(self) -> bool:
         """Whether nothing more can happen to the request, so that the core may forget it."""
--- a/heathford/core/gate.py
+++ b/heathford/core/gate.py
@@ -13,6 +13,7 @@
 from typing import Protocol
 
 from heathford.interface import (
+    ANSWERED_BY_ENGINE,
     HELD_ALLOWANCE,
     STALL_ALLOWANCE,
     NEVER_RAN,
@@ -163,6 +164,17 @@
         """Return the other attempts that may have had an effect."""
         return [other for other in self.attempts if other is not attempt and other.may_have_run]
 
+    @property
+    def forbids_repeat(self) -> bool:
+        """Whether the same request must not be accepted again, once this one is over.
+
+        An engine may still be at an attempt that was given up, or the effect may happen a second time.
+        """
+        outcomes = {attempt.outcome for attempt in self.attempts} - NEVER_RAN
+        if self.workload.effect is Effect.IDEMPOTENT:
+            return not outcomes <= ANSWERED_BY_ENGINE
+        return bool(outcomes)
+
 
 class Gate:
     """Gives or refuses permission, for all requests of one process.
--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -190,10 +190,15 @@
         self.pool = link.pool(endpoint)
         self.stream: IOStream | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.over = self.begun = False
+        self.over = False
         self.progress: StreamProgress | None = None  # of the stream, from its first token on
         self.load: dict[str, float] = {}
 
+    @property
+    def begun(self) -> bool:
+        """Whether a token was received."""
+        return self.progress is not None
+
     def cancel(self) -> None:
         self.end(Outcome.CANCELLED)
 
@@ -317,7 +322,7 @@
         if self.progress:
             self.progress.received(now, ended_event=True)
         else:
-            self.begun, self.progress = True, StreamProgress(self.link.stream_silence, now)
+            self.progress = StreamProgress(self.link.stream_silence, now)
             self.events.first_token()
             if not self.over:
                 self.schedule_silence_check(self.link.stream_silence)
--- a/heathford/platform/answers.py
+++ b/heathford/platform/answers.py
@@ -89,7 +89,7 @@
     for line in events.split(b"\n"):
         if line.startswith(b"data: {") and b'"usage"' in line:
             try:
-                return cached_tokens(json_object(line[5:]).get("usage"))
+                return cached_tokens(json_object(line.removeprefix(DATA_FIELD)).get("usage"))
             except MalformedMessageError:
                 return 0  # statistics only: the events are passed on unchanged
     return 0
--- a/heathford/platform/client_connection.py
+++ b/heathford/platform/client_connection.py
@@ -74,7 +74,6 @@
         self.unsent_memory = MemoryCharge(server.memory)  # of the write buffer, beyond what is guaranteed
         self.writing_paused = False
         self.accepted_request: AcceptedRequest | None = None
-        self.request_name = ""  # X-Call-Id of the open request
         self.keep_alive = True  # whether the client keeps the connection after the current request
         self.idle_since = server.loop.time()  # when it connected, was last answered, or started a request
         self.answered_count = 0
@@ -213,15 +212,15 @@
         self.head_sent = False
 
         def on_removed(removed: AcceptedRequest) -> None:
-            charge.release()
-            server.request_names.request_removed(removed.name, removed.forbids_repeat, server.loop.time())
+            charge.set(0)
+            forbids_repeat = removed.lifecycle.forbids_repeat
+            server.request_names.request_removed(removed.name, forbids_repeat, server.loop.time())
 
         self.accepted_request = accept_request(
             server.core, self, request, server.workloads, server.request_names, started_at, on_removed
         )
         charge.set(OPEN_REQUEST_BYTES + request.size)
-        self.request_name = request.headers["x-call-id"]
-        server.request_names.request_opened(self.request_name)
+        server.request_names.request_opened(self.accepted_request.name)
         server.connection_changed(self)
 
     def refuse(self, exc: RequestError, keep_alive: bool) -> None:
@@ -238,7 +237,7 @@
 
     def clear_request(self) -> None:
         """Forget the open request, once its final answer is due or its client is gone."""
-        self.accepted_request, self.request_name = None, ""
+        self.accepted_request = None
 
     # Answers.
 
@@ -329,7 +328,8 @@
         return self.server.core.gate.may_close(self.busy, self.reader.has_partial_request, self.has_unread)
 
     def record(self, event: str, reason: str) -> None:
-        self.server.core.history.add(self.request_name, event, reason)
+        name = self.accepted_request.name if self.accepted_request else ""
+        self.server.core.history.add(name, event, reason)
 
     def evict(self) -> bool:
         """Drop the connection to free its descriptor; return whether that was done.
--- a/heathford/platform/client_server.py
+++ b/heathford/platform/client_server.py
@@ -11,8 +11,8 @@
 from heathford.core.core import Core
 from heathford.platform.client_connection import ClientConnection
 from heathford.platform.eviction import EvictionQueues
-from heathford.platform.request_names import RequestNames
 from heathford.platform.parse_turns import ParseTurns
+from heathford.platform.request_names import RequestNames
 from heathford.wire.memory_budget import MemoryBudget
 
 FIRST_BYTE_TIMEOUT = 2.0  # s from connecting: a silent connection has to be closed within 3 s
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -143,15 +143,13 @@
         if not confirmed and retry_delay <= MAX_RELEASE_RETRY_DELAY:
             self.schedule_retry(retry_delay, endpoint, name, events, 2 * retry_delay)
             return
-        abandoned = self.abandoned.get(name)
-        delay = (
-            abandoned.next_release_in(self.loop.time(), self.pin_limit) if confirmed and abandoned else None
-        )
-        if delay is None or abandoned is None:
-            self.abandoned.forget(name)
-        else:
+        abandoned = self.abandoned.get(name) if confirmed else None
+        delay = abandoned.next_release_in(self.loop.time(), self.pin_limit) if abandoned else None
+        if abandoned and delay is not None:
             next_engine = abandoned.engine_to_ask or endpoint
             self.schedule_retry(delay, next_engine, name, events, MAX_RELEASE_RETRY_DELAY)
+        else:
+            self.abandoned.forget(name)
 
     def schedule_retry(
         self, delay: float, endpoint: Endpoint, name: str, events: ReleaseEvents, next_retry_delay: float
--- a/heathford/platform/process.py
+++ b/heathford/platform/process.py
@@ -22,8 +22,8 @@
 from heathford.fleet.endpoint_list import EndpointList
 from heathford.platform.client_server import SHUTDOWN_ACCEPT_PERIOD, SWEEP_INTERVAL, ClientServer
 from heathford.platform.link import PlatformLink
-from heathford.platform.node_log import NodeLog
 from heathford.platform.memory import DEFAULT_REQUEST_BYTES, request_bytes, resident_bytes
+from heathford.platform.node_log import NodeLog
 from heathford.platform.reload import ConfigurationReload
 from heathford.platform.signals import handled_signals
 from heathford.platform.start import (
--- a/heathford/platform/request_names.py
+++ b/heathford/platform/request_names.py
@@ -33,7 +33,7 @@
     def request_removed(self, name: str, forbids_repeat: bool, now: float) -> None:
         """Note that a request is over and no attempt of it is out.
 
-        forbids_repeat: see `AcceptedRequest.forbids_repeat`.
+        forbids_repeat: see `RequestLifecycle`.
         """
         self.open.pop(name, None)
         if forbids_repeat:
--- a/heathford/soak/request_history.py
+++ b/heathford/soak/request_history.py
@@ -97,7 +97,7 @@
         if attempt.answered_at <= attempt.closed_at:
             return attempt.ended_at
         later = (other.delivered_at for other in self.attempts if other.delivered_at > attempt.ended_at)
-        return min(attempt.ended_at + close_delay, *later, inf)
+        return min([attempt.ended_at + close_delay, *later])
 
     def add(self, record: Record) -> None:
         kind = record.kind
--- a/heathford/wire/body_buffer.py
+++ b/heathford/wire/body_buffer.py
@@ -20,8 +20,6 @@
 
     def __bytes__(self) -> bytes:
         """Return the whole body."""
-        if len(self.blocks) == 1:
-            return bytes(self.blocks[0])
         return b"".join(self.blocks)
 
     def append(self, part: bytes) -> None:
--- a/heathford/wire/memory_budget.py
+++ b/heathford/wire/memory_budget.py
@@ -28,7 +28,3 @@
         """Take that many bytes in all, instead of those taken before."""
         self.budget.used_bytes += size - self.size
         self.size = size
-
-    def release(self) -> None:
-        """Give all of it back."""
-        self.set(0)
--- a/tests/raw_peers.py
+++ b/tests/raw_peers.py
@@ -155,13 +155,19 @@
             sock.close()
 
 
-async def answer_releases(*engines: RawEngine) -> None:
-    """Answer each DELETE with 204, as running engines do; for a task that is cancelled at the end."""
+async def answer_releases(
+    *engines: RawEngine, on_release: Callable[[RawEngine], None] = lambda engine: None
+) -> None:
+    """Answer each DELETE with 204, as running engines do; for a task that is cancelled at the end.
+
+    on_release: called for each, before its answer.
+    """
     answered = dict.fromkeys(engines, 0)
     while True:
         for engine in engines:
             if engine.deletes > answered[engine]:
                 answered[engine] += 1
+                on_release(engine)
                 engine.latest[b"DELETE"].sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
         await asyncio.sleep(0.002)
 
--- a/tests/test_release_overtakes.py
+++ b/tests/test_release_overtakes.py
@@ -11,7 +11,7 @@
 
 import pytest
 from conftest import CoreHarness
-from raw_peers import FrontSetup, RawConnection, RawEngine, request, run_scenario, until
+from raw_peers import FrontSetup, RawConnection, answer_releases, request, run_scenario, until
 
 from heathford.interface import Outcome
 from heathford.standin.platform import PREFILL_RESPONSE
@@ -22,16 +22,6 @@
 WATCHED = 2.5  # s: longer than all repeats for a given-up prefill
 
 
-async def answer_releases(engines: tuple[RawEngine, ...], times: dict[str, list[float]]) -> None:
-    """Answer each release; note when it came, by engine. For a task that is cancelled at the end."""
-    while True:
-        for engine in engines:
-            while engine.deletes > len(times[engine.uid]):
-                times[engine.uid].append(monotonic())
-                engine.latest[b"DELETE"].sock.sendall(b"HTTP/1.1 204 No Content\r\n\r\n")
-        await asyncio.sleep(0.002)
-
-
 async def ended_at(connection: RawConnection) -> float:
     """Wait until the front node has closed the connection, and return when it was seen."""
     connection.sock.setblocking(False)
@@ -70,7 +60,9 @@
         (await prefill_engine.wait_for_request()).sock.sendall(PREFILL_RESPONSE)
         attempt = await decode_engine.wait_for_request()
         times: dict[str, list[float]] = {engine.uid: [] for engine in setup.engines}
-        answering = asyncio.create_task(answer_releases(setup.engines, times))
+        answering = asyncio.create_task(
+            answer_releases(*setup.engines, on_release=lambda engine: times[engine.uid].append(monotonic()))
+        )
         if end != "deadline":
             client.disconnect(end)
         ended = await ended_at(attempt)
--- a/tests/test_slow_streams.py
+++ b/tests/test_slow_streams.py
@@ -22,14 +22,14 @@
     """Silence counted from the last complete event: a stream was cut off while its engine still wrote."""
     monkeypatch.setattr(engine_call, "STREAM_SILENCE_LIMIT", MAX_SILENCE)
     long_event = EVENTS[0].replace(b"ab", b"x" * event_bytes)
-    part_bytes = 1 + len(long_event) * PART_INTERVAL // WRITING_TIME
+    part_bytes = 1 + int(len(long_event) * PART_INTERVAL / WRITING_TIME)
 
     async def scenario(setup: FrontSetup) -> None:
         client = setup.client()
         connection = await setup.submit_until_decode(client)
         connection.sock.sendall(STREAM + chunk(EVENTS[0]))
-        for start in range(0, len(long_event), int(part_bytes)):
-            connection.sock.sendall(chunk(long_event[start : start + int(part_bytes)]))
+        for start in range(0, len(long_event), part_bytes):
+            connection.sock.sendall(chunk(long_event[start : start + part_bytes]))
             await asyncio.sleep(PART_INTERVAL)
         connection.sock.sendall(b"".join(map(chunk, EVENTS[1:])) + b"0\r\n\r\n")
         await until(lambda: client.whole_streams == 1, "the whole stream")
