A stream that ends before its last chunk is logged with its request and reason

Callers' streams stayed open until they left, and the logs of the front nodes said nothing of it: a stream that ends without its last chunk left no line, and a malformed answer none with its request. Now each does, up to 100 of each kind a process: request, engine, outcome, time since the last event and the last byte, bytes since the last event, the part of the answer that is being read, and whether [DONE] came.

--- a/heathford/engines/link.py
+++ b/heathford/engines/link.py
@@ -279,7 +279,7 @@
             if self.over:
                 return
             if self.progress:
-                self.progress.received(asyncio.get_running_loop().time(), ended_event=False)
+                self.progress.received(asyncio.get_running_loop().time(), len(data), ended_event=False)
             for part in response.feed(data):
                 if response.status != 200 or "event-stream" not in response.headers.get("content-type", ""):
                     body += part
@@ -320,7 +320,7 @@
     def on_token(self, text: str) -> None:
         now = asyncio.get_running_loop().time()
         if self.progress:
-            self.progress.received(now, ended_event=True)
+            self.progress.received(now, 0, ended_event=True)
         else:
             self.progress = StreamProgress(self.link.stream_silence, now)
             self.events.first_token()
--- a/heathford/engines/stream_progress.py
+++ b/heathford/engines/stream_progress.py
@@ -15,12 +15,15 @@
     def __init__(self, max_silence: float, now: float) -> None:
         self.max_silence = max_silence
         self.last_byte_at = self.last_event_at = now
+        self.bytes_since_event = 0  # received, those of the framing among them
 
-    def received(self, now: float, ended_event: bool) -> None:
-        """Record that bytes came; ended_event: an event is complete now."""
+    def received(self, now: float, size: int, ended_event: bool) -> None:
+        """Record that so many bytes came; ended_event: an event is complete now."""
         self.last_byte_at = now
+        self.bytes_since_event += size
         if ended_event:
             self.last_event_at = now
+            self.bytes_since_event = 0
 
     def time_left(self, now: float) -> float:
         """Return the s until the stream has failed if nothing more comes; 0 or less if it has."""
--- a/heathford/platform/engine_call.py
+++ b/heathford/platform/engine_call.py
@@ -162,6 +162,8 @@
         self.finish(keep_alive)
         self.body = NO_BODY  # the call may live on in a connection that is still being opened
         self.link.outcomes[outcome] += 1
+        if self.stream and outcome is not Outcome.FINISHED:
+            self.link.report_unfinished_stream(self, self.stream, outcome)
         if sent and self.may_hold_state and not self.stream_started and self.was_given_up(outcome):
             self.link.abandoned.add(self.name, self.endpoint, self.loop.time())
         self.events.ended(outcome, detail, {}, {"kv": {}})
@@ -195,12 +197,12 @@
             done = self.answer.response.done
             outcome, detail = self.answer.outcome() if done else (Outcome.ERROR, 0)
         except MalformedMessageError as error:
-            self.link.report_malformed_answer(self.endpoint, error)
+            self.link.report_malformed_answer(self.endpoint, self.name, error)
             self.end(Outcome.ERROR)
             return
         now = self.loop.time()
         if self.stream:
-            self.stream.received(now, ended_event=bool(events))
+            self.stream.received(now, len(data), ended_event=bool(events))
         elif events:
             self.stream = StreamProgress(STREAM_SILENCE_LIMIT, now)
             self.events.first_token()
--- a/heathford/platform/link.py
+++ b/heathford/platform/link.py
@@ -11,6 +11,7 @@
 from heathford.core.tasks import Tasks
 from heathford.engines.pools import ConnectionPools
 from heathford.engines.release_retries import NO_ANSWER
+from heathford.engines.stream_progress import StreamProgress
 from heathford.interface import Outcome
 from heathford.platform.abandoned_attempts import AbandonedAttemptTable
 from heathford.platform.engine_call import EngineCall
@@ -27,6 +28,7 @@
 # more some milliseconds later, which would be taken for the response to the next request
 REUSE_DELAY = 0.05
 RELEASE_RETRY_DELAY = 0.5  # s from an unconfirmed release to its retry; doubles for each further one
+MAX_LOGGED_ANSWERS = 100  # of each kind: enough to see what is wrong; all are counted
 MAX_RELEASE_RETRY_DELAY = 4.0  # s: all retries together outlast a network outage of several seconds
 
 log = structlog.get_logger()
@@ -73,7 +75,7 @@
         self.transfers = TransferRates()
         self.retry_timers: dict[str, asyncio.TimerHandle] = {}  # of releases, by request
         self.outcomes: Counter[Outcome] = Counter()
-        self.malformed_answers = self.failed_releases = 0
+        self.malformed_answers = self.unfinished_streams = self.failed_releases = 0
         self.stopped = False
 
     def send(
@@ -192,11 +194,29 @@
         else:
             self.pools.add_idle(connection.pool, connection, self.loop.time())
 
-    def report_malformed_answer(self, endpoint: Endpoint, error: MalformedMessageError) -> None:
+    def report_malformed_answer(self, endpoint: Endpoint, name: str, error: MalformedMessageError) -> None:
         """Count an engine's answer that breaks the protocol, and log the first ones."""
         self.malformed_answers += 1
-        if self.malformed_answers <= 20:  # enough to see what is wrong; all are counted
-            log.warning("malformed answer from an engine", engine=endpoint.name, what=str(error))
+        if self.malformed_answers <= MAX_LOGGED_ANSWERS:
+            log.warning(
+                "malformed answer from an engine", engine=endpoint.name, request=name, what=str(error)
+            )
+
+    def report_unfinished_stream(self, call: EngineCall, stream: StreamProgress, outcome: Outcome) -> None:
+        """Count a stream that ended before its last chunk, whoever ended it, and log the first ones."""
+        self.unfinished_streams += 1
+        if self.unfinished_streams <= MAX_LOGGED_ANSWERS:
+            log.warning(
+                "stream ended before its last chunk",
+                engine=call.endpoint.name,
+                request=call.name,
+                outcome=outcome.value,
+                since_last_event=round(self.loop.time() - stream.last_event_at, 3),
+                since_last_byte=round(self.loop.time() - stream.last_byte_at, 3),
+                bytes_since_event=stream.bytes_since_event,
+                reading=call.answer.response.awaited_part,
+                done_event=call.answer.events.finished,
+            )
 
     def stop(self) -> None:
         """Cancel retries and close idle connections; those in use close when their exchange ends."""
--- a/heathford/platform/node_log.py
+++ b/heathford/platform/node_log.py
@@ -60,11 +60,11 @@
 
         taken: accepted requests; left: those whose client left; late: those that ran past their deadline;
         faults: decisions that raised; live: open requests; out: evicted client connections; spoilt: malformed
-        answers of engines; request_bytes: memory charged to clients' requests and answers, at most
-        max_request_bytes; gate: refusals of the gate, by reason; cold: engines in slow start now, and
-        attempts sent to such since the process started; names: X-Call-Ids of earlier requests that must
-        not come again; abandoned: requests with attempts that were given up, for which releases may be
-        repeated.
+        answers of engines; unfinished: streams that ended before their last chunk; request_bytes: memory
+        charged to clients' requests and answers, at most max_request_bytes; gate: refusals of the gate, by
+        reason; cold: engines in slow start now, and attempts sent to such since the process started; names:
+        X-Call-Ids of earlier requests that must not come again; abandoned: requests with attempts that were
+        given up, for which releases may be repeated.
         """
         tally, router = self.core.tally, self.core.router
         log.info(
@@ -82,6 +82,7 @@
             refused=dict(self.clients.refused),
             ends={v.value: n for v, n in self.link.outcomes.items()},
             spoilt=self.link.malformed_answers,
+            unfinished=self.link.unfinished_streams,
             unreleased=self.link.failed_releases,
             engines=len(router.engines),
             cold={"engines": router.cold_engine_count, "attempts": router.slow_start.attempts_sent},
--- a/heathford/wire/http1.py
+++ b/heathford/wire/http1.py
@@ -65,6 +65,11 @@
         self.remaining = 0  # bytes of the body, or of the current chunk, that are still to be received
         self.next_step: ParseStep = type(self).read_head  # parses the next part
 
+    @property
+    def awaited_part(self) -> str:
+        """The name of the part that is being read, for the log."""
+        return "nothing" if self.done else self.next_step.__name__.removeprefix("read_")
+
     def read_head(self) -> bytes | None:
         raise NotImplementedError
 
--- a/tests/test_slow_streams.py
+++ b/tests/test_slow_streams.py
@@ -4,7 +4,8 @@
 from pathlib import Path
 
 import pytest
-from raw_peers import FrontSetup, run_scenario, until
+from raw_peers import FrontSetup, run_loop_turns, run_scenario, until
+from structlog.testing import capture_logs
 
 from heathford.engines.stream_progress import MAX_EVENT_TIME, StreamProgress
 from heathford.platform import engine_call
@@ -62,7 +63,30 @@
     progress, now = StreamProgress(4.0, 0.0), 0.0
     while progress.time_left(now) > 0.0:
         now += min(1.0, progress.time_left(now))
-        progress.received(now, ended_event=False)
+        progress.received(now, 1, ended_event=False)
     assert now == MAX_EVENT_TIME
-    progress.received(now, ended_event=True)
+    progress.received(now, 1, ended_event=True)
     assert progress.time_left(now) == 4.0
+
+
+def test_a_stream_that_its_client_leaves_is_logged_with_what_came_since_its_last_event(
+    tmp_path: Path,
+) -> None:
+    """Guards against streams left open of which the log says nothing."""
+
+    async def scenario(setup: FrontSetup) -> None:
+        client = setup.client()
+        connection = await setup.submit_until_decode(client)
+        connection.sock.sendall(STREAM + chunk(EVENTS[0]))
+        await until(lambda: EVENTS[0] in client.read_available(), "the first event")
+        connection.sock.sendall(b"ff")
+        await run_loop_turns()
+        with capture_logs() as lines:
+            client.disconnect("closed")
+            await until(lambda: bool(lines), "a log line")
+        line = next(line for line in lines if line["event"] == "stream ended before its last chunk")
+        assert line["request"] == "c0" and line["engine"] == "w" and line["outcome"] == "cancelled"
+        assert line["bytes_since_event"] == 2 and line["reading"] == "chunk_size"
+        assert 0.0 <= line["since_last_byte"] <= line["since_last_event"] < 5.0 and not line["done_event"]
+
+    run_scenario(tmp_path, scenario)
