The size line of a chunk is judged as it comes

What callers saw: behind a line that can be no size line a stream stayed open for 4 s more, and before its first event a request waited for its whole deadline on an engine whose answer was visibly bad. Cause: a size line was looked at once it was complete, up to 16 kB of it (http1.Message.read_chunk_size). Now what came of it has to be hex digits, 16 at most, and an extension without control characters, 1,024 bytes in all; a bare line feed in an extension, which some parsers take for the end of the line, is refused for requests too. The test fails for 7 of its 10 lines before.

--- a/heathford/wire/http1.py
+++ b/heathford/wire/http1.py
@@ -15,7 +15,11 @@
 MAX_FRAMING_BYTES = 65_536
 LINE_ENDS_OF_CHUNK = 4  # bytes: behind its size line and behind its data
 CONTENT_LENGTH = re.compile(r"[0-9]{1,15}")  # int() alone accepts signs, underscores and non-ASCII digits
-CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}")  # int() alone accepts signs, underscores and 0x too
+MAX_SIZE_LINE_BYTES = 1_024  # of a chunk: its size, and extensions that are not used
+# int() alone accepts signs, underscores and 0x too. An extension has no control characters: a bare line feed
+# ends the line for some parsers and not for others.
+SIZE_LINE = re.compile(rb"([0-9A-Fa-f]{1,16})[ \t]*(?:;[\t -~\x80-\xff]*)?")
+SIZE_LINE_START = re.compile(rb"(?:%b\r?)?" % SIZE_LINE.pattern)
 
 
 # A step of a parser; None: it needs more bytes. Called with the parser, as a bound method would make the
@@ -45,10 +49,10 @@
 class Message:
     """The framing that requests and responses share: received bytes, and a body of known length or in chunks.
 
-    max_line_bytes: limit of a head, a trailer section or a chunk's size line; max_chunk_bytes: limit of the
-    size that a chunk states. A corrupt size would otherwise make the parser wait for gigabytes; a real chunk
-    that long is refused as well. framing_ratio: bytes that the framing of chunks may have for each byte in
-    them, beside MAX_FRAMING_BYTES.
+    max_line_bytes: limit of a head or a trailer section; max_chunk_bytes: limit of the size that a chunk
+    states. A corrupt size would otherwise make the parser wait for gigabytes; a real chunk that long is
+    refused as well. framing_ratio: bytes that the framing of chunks may have for each byte in them, beside
+    MAX_FRAMING_BYTES.
     """
 
     framing_ratio = 0
@@ -72,11 +76,11 @@
     def read_head(self) -> bytes | None:
         raise NotImplementedError
 
-    def read_line(self) -> bytes | None:
+    def read_line(self, max_bytes: int) -> bytes | None:
         """Return the next line without its end, or None where it is not complete yet."""
-        at = self.buffer.find(b"\r\n", 0, self.max_line_bytes + 3)
-        if at < 0 or at > self.max_line_bytes:
-            if len(self.buffer) > self.max_line_bytes:
+        at = self.buffer.find(b"\r\n", 0, max_bytes + 3)
+        if at < 0 or at > max_bytes:
+            if len(self.buffer) > max_bytes:
                 raise MalformedMessageError("a line too long")
             return None
         line = bytes(self.buffer[:at])
@@ -100,13 +104,13 @@
         return part or None
 
     def read_chunk_size(self) -> bytes | None:
-        line = self.read_line()
+        line = self.read_line(min(self.max_line_bytes, MAX_SIZE_LINE_BYTES))
+        match = SIZE_LINE_START.fullmatch(self.buffer) if line is None else SIZE_LINE.fullmatch(line)
+        if not match:
+            raise MalformedMessageError("a chunk without a size")
         if line is None:
             return None
-        size = line.split(b";")[0].strip(b" \t")
-        if not CHUNK_SIZE.fullmatch(size):
-            raise MalformedMessageError("a chunk without a size")
-        self.remaining = int(size, 16)
+        self.remaining = int(match[1], 16)
         if self.remaining > self.max_chunk_bytes:
             raise MalformedMessageError("a chunk too long")
         self.framing_excess += len(line) + LINE_ENDS_OF_CHUNK - self.framing_ratio * self.remaining
@@ -127,7 +131,7 @@
         return b""
 
     def read_trailers(self) -> bytes | None:
-        line = self.read_line()
+        line = self.read_line(self.max_line_bytes)
         if line is None:
             return None
         if line:
--- a/heathford/wire/requests.py
+++ b/heathford/wire/requests.py
@@ -41,9 +41,9 @@
 class Request(Message):
     """Parses one request; `done` is set once it is complete.
 
-    max_head_bytes, max_body_bytes: limits, above which the request is refused; the first is also that of a
-    chunk-size line (`max_line_bytes` of Message). buffer: bytes received before; parsed ones are removed from
-    it, so that the next request of the connection can be given the same buffer.
+    max_head_bytes, max_body_bytes: limits, above which the request is refused; the first is also that of
+    trailers (`max_line_bytes` of Message). buffer: bytes received before; parsed ones are removed from it, so
+    that the next request of the connection can be given the same buffer.
     """
 
     def __init__(self, max_head_bytes: int, max_body_bytes: int, buffer: bytearray | None = None) -> None:
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -226,3 +226,31 @@
     with pytest.raises(MalformedMessageError):
         for _ in range(70):
             answer.feed(b"x" * 4_096)
+
+
+@pytest.mark.parametrize(
+    "line, is_sound",
+    [
+        (b"5a", True),
+        (b"0000000000000005 \t", True),
+        (b'5a;seq=1;note="a part"', True),
+        (b"5a;data: {}\n\ndata: {}\n\n", False),
+        (b"00000000000000005", False),
+        (b"5a 5", False),
+        (b"data: ", False),
+        (b"\r", False),
+        (b"-5", False),
+        pytest.param(b"5a;" + b"x" * 1_100, False, id="too long"),
+    ],
+)
+def test_a_size_line_is_judged_as_it_comes(line: bytes, is_sound: bool) -> None:
+    """A line that can state no size was read on, up to 16 kB of it or a time limit."""
+    answer = Answer(False)
+    answer.feed(STREAM)
+    if is_sound:
+        for byte in line:
+            answer.feed(bytes([byte]))
+    else:
+        with pytest.raises(MalformedMessageError):
+            for byte in line:
+                answer.feed(bytes([byte]))
