Trailers without an end do not keep a stream open

What callers saw: all events and [DONE] had come, and the client waited for the end of the stream for as long as its engine sent trailers (16 s measured, up to the limit for silence since bytes of no event are no progress). Cause: nothing bounded the time between the last chunk's size and the end. Now trailers have 0.8 s from their first byte (EngineCall.on_data); an end without trailers has the limit for silence, as its bytes may come slowly. Both cases of the test failed before (3.0 s, its own limit), and end in under 1 s.

--- a/heathford/platform/engine_call.py
+++ b/heathford/platform/engine_call.py
@@ -16,6 +16,7 @@
     from heathford.platform.link import PlatformLink
 
 STREAM_SILENCE_LIMIT = 4.0  # s without progress, after which a stream has failed: clients wait for 5 s
+TRAILERS_TIMEOUT = 0.8  # s for trailers, from their first byte: an end passed on a second late is lost
 PREFILL_ANSWER_TIMEOUT = 0.1  # s for the rest of a prefill engine's answer, which has some 100 bytes
 NO_BODY = ("", b"")  # in place of a request's target and body that are not needed any more
 # Outcomes after which an attempt may go on at its engine, which has not seen the end of the connection yet.
@@ -50,6 +51,7 @@
         self.answer = Answer(endpoint.role is Role.PREFILL)
         self.stream: StreamProgress | None = None  # from its first event on
         self.prefill_answer_started = False  # part of a prefill engine's answer was received
+        self.trailers_started = False  # part of a trailer of a stream was received
         self.transfer: Send | None = None  # until the last byte is acknowledged
 
     def start(self) -> None:
@@ -212,6 +214,9 @@
             self.end(outcome, detail, keep_alive=self.answer.keep_alive)
         elif self.endpoint.role is Role.PREFILL and not self.prefill_answer_started:
             self.on_prefill_answer_start()
+        elif self.stream and not self.trailers_started and self.answer.response.has_trailers:
+            self.trailers_started = True
+            self.set_timer(TRAILERS_TIMEOUT, self.on_timeout)
 
     def end_malformed(self, error: MalformedMessageError) -> None:
         """End the attempt, whose answer breaks the protocol."""
--- a/heathford/wire/http1.py
+++ b/heathford/wire/http1.py
@@ -68,6 +68,12 @@
         self.remaining = 0  # bytes of the body, or of the current chunk, that are still to be received
         self.next_step: ParseStep = type(self).read_head  # parses the next part
 
+    @property
+    def has_trailers(self) -> bool:
+        """Whether part of a trailer was received."""
+        in_trailers = self.next_step is Message.read_trailers
+        return in_trailers and (self.trailer_fields > 0 or self.buffer[:1] not in (b"", b"\r"))
+
     @property
     def awaited_part(self) -> str:
         """The name of the part that is being read, for the log."""
--- a/tests/test_slow_streams.py
+++ b/tests/test_slow_streams.py
@@ -1,6 +1,7 @@
 """Streams that an engine writes slowly, and streams that have failed."""
 
 import asyncio
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -16,6 +17,7 @@
 MAX_SILENCE = 0.25  # s, instead of STREAM_SILENCE_LIMIT
 PART_INTERVAL = 0.1  # s
 WRITING_TIME = 3 * MAX_SILENCE  # s
+END_LIMIT = 1.0  # s after which the end of a stream is late, by the protocol page
 
 
 @pytest.mark.parametrize("event_bytes", [300, 30_000])
@@ -60,6 +62,27 @@
     run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("part", [b"x: y\r\n", b"x"])
+def test_trailers_without_end_do_not_delay_the_end_of_a_stream(tmp_path: Path, part: bytes) -> None:
+    """All events had come, and the client waited for the end until the engine closed."""
+
+    async def scenario(setup: FrontSetup) -> None:
+        client = setup.client()
+        connection = await setup.submit_until_decode(client)
+        connection.sock.sendall(STREAM + chunk(b"".join(EVENTS)) + b"0\r\n")
+        await until(lambda: EVENTS[-1] in client.read_available(), "the last event")
+        started = asyncio.get_running_loop().time()
+        while not client.ended and asyncio.get_running_loop().time() < started + 3.0:
+            with suppress(OSError):
+                connection.sock.sendall(part)
+            await asyncio.sleep(PART_INTERVAL)
+            client.read_available()
+        assert asyncio.get_running_loop().time() - started < END_LIMIT
+        assert client.whole_streams == 0
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_a_stream_that_never_ends_its_event_fails_at_last() -> None:
     """An engine that writes a byte now and then would hold its client for good."""
     events = EventStream(LONGEST_BODY)
