A failure that an answer's head tells does not wait for a body that never comes

Cause: only prefill engines' answers had a limit for their rest (0.1 s); a failed answer of another engine had none, and neither used what the head tells. Now both have the 0.1 s, and end with the head's outcome. A connection that breaks instead is still BROKEN, as an existing test demands. The three cases of the test failed before.

--- a/heathford/platform/answers.py
+++ b/heathford/platform/answers.py
@@ -117,10 +117,21 @@
             return Outcome.FINISHED, self.events.cached_tokens
         if status == 202 and self.is_prefill:
             return Outcome.PREFILLED, positive_count(json_object(bytes(self.body)).get("cached_tokens"))
+        return self.failure()
+
+    def failure(self) -> tuple[Outcome, int]:
+        """Return the outcome and its detail that the head of a failed answer tells."""
+        status = self.response.status
         if status in REJECTION_DETAILS and self.response.headers.get(REJECTED_HEADER) == "1":
             return Outcome.FULL, REJECTION_DETAILS[status]
         return Outcome.ERROR, 0
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether the head has come, and tells that the attempt has failed."""
+        expected_status = 202 if self.is_prefill else 200
+        return self.response.head_complete and self.response.status != expected_status
+
 
 def positive_count(count: Any) -> int:
     """Return the count, or 0 for anything but a positive integer."""
--- a/heathford/platform/engine_call.py
+++ b/heathford/platform/engine_call.py
@@ -17,7 +17,7 @@
 
 STREAM_SILENCE_LIMIT = 4.0  # s without progress, after which a stream has failed: clients wait for 5 s
 TRAILERS_TIMEOUT = 0.8  # s for trailers, from their first byte: an end passed on a second late is lost
-PREFILL_ANSWER_TIMEOUT = 0.1  # s for the rest of a prefill engine's answer, which has some 100 bytes
+REST_TIMEOUT = 0.1  # s for the rest of an answer other than a stream, which has some 100 bytes
 NO_BODY = ("", b"")  # in place of a request's target and body that are not needed any more
 # Outcomes after which an attempt may go on at its engine, which has not seen the end of the connection yet.
 UNCERTAIN_OUTCOMES = frozenset(
@@ -50,7 +50,7 @@
         self.name, self.body, self.idempotency_key, self.events = name, body, idempotency_key, events
         self.answer = Answer(endpoint.role is Role.PREFILL)
         self.stream: StreamProgress | None = None  # from its first event on
-        self.prefill_answer_started = False  # part of a prefill engine's answer was received
+        self.rest_awaited = False  # the wait for the rest of an answer other than a stream is bounded
         self.trailers_started = False  # part of a trailer of a stream was received
         self.transfer: Send | None = None  # until the last byte is acknowledged
 
@@ -212,8 +212,8 @@
             self.events.tokens(events)
         if done:
             self.end(outcome, detail, keep_alive=self.answer.keep_alive)
-        elif self.endpoint.role is Role.PREFILL and not self.prefill_answer_started:
-            self.on_prefill_answer_start()
+        elif self.endpoint.role is Role.PREFILL or self.answer.has_failed:
+            self.await_rest()
         elif self.stream and not self.trailers_started and self.answer.response.has_trailers:
             self.trailers_started = True
             self.set_timer(TRAILERS_TIMEOUT, self.on_timeout)
@@ -223,16 +223,23 @@
         self.link.report_malformed_answer(self.endpoint, self.name, error)
         self.end(Outcome.ERROR)
 
-    def on_prefill_answer_start(self) -> None:
-        """Notify that part of the answer was received, and bound the wait for the rest.
+    def await_rest(self) -> None:
+        """Bound the wait for the rest of a prefill engine's answer, or of one whose head tells a failure.
 
-        The engine may hold the state from now on, and the rest of its answer may never arrive. The cost is a
-        second prefill attempt where the rest would have arrived later.
+        The rest may never arrive. A prefill engine may hold the state from now on; the cost is a second
+        prefill attempt where the rest would have arrived later. A failure is known from the head.
         """
-        self.prefill_answer_started = True
-        self.events.answer_begun()
+        if self.rest_awaited:
+            return
+        self.rest_awaited = True
+        if self.endpoint.role is Role.PREFILL:
+            self.events.answer_begun()
         time_left = self.expires_at - self.loop.time()
-        self.set_timer(max(0.0, min(PREFILL_ANSWER_TIMEOUT, time_left)), self.on_timeout)
+        self.set_timer(max(0.0, min(REST_TIMEOUT, time_left)), self.on_rest_timeout)
+
+    def on_rest_timeout(self) -> None:
+        """End an attempt whose answer has not come whole, by its head if that tells a failure."""
+        self.end(*self.answer.failure() if self.answer.has_failed else (Outcome.TIMED_OUT, 0))
 
     def check_stream_progress(self) -> None:
         """End a stream that has failed, else check again: one timer per stream, not one per event."""
--- a/heathford/wire/http1.py
+++ b/heathford/wire/http1.py
@@ -166,6 +166,7 @@
         super().__init__(max_line_bytes, max_chunk_bytes)
         self.strict = strict
         self.status = 0
+        self.head_complete = False  # the final one: interim responses don't count
         self.until_close = False  # the body ends when the peer closes
         self.interim_bytes = 0  # heads of interim responses
 
@@ -215,6 +216,7 @@
             if self.interim_bytes > self.max_line_bytes:
                 raise FieldsTooLongError("too many interim responses")
             return b""
+        self.head_complete = True
         self.keep_alive = "close" not in parse_token_list(self.headers.get("connection", ""))
         if self.headers.get("transfer-encoding", "").lower() == "chunked":
             self.next_step = Message.read_chunk_size
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -144,6 +144,34 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(
+    "head, outcome",
+    [
+        (b"HTTP/1.1 503 X\r\nX-Rejected: 1\r\nContent-Length: 5\r\n\r\n", Outcome.FULL),
+        (b"HTTP/1.1 504 X\r\nX-Rejected: 1\r\nTransfer-Encoding: chunked\r\n\r\n", Outcome.FULL),
+        (b"HTTP/1.1 500 X\r\nContent-Length: 5\r\n\r\n", Outcome.ERROR),
+    ],
+)
+def test_a_failure_that_the_head_tells_does_not_wait_for_its_body(
+    engine: Engine, head: bytes, outcome: Outcome
+) -> None:
+    """A body that never came took the whole deadline, and a rejected request counted as one that ran."""
+
+    async def scenario() -> None:
+        link = link_to()
+        events = RecordingCallEvents(lambda: None)
+        send(link, engine, events)
+        connection = await engine.accepted()
+        await until(lambda: bool(select.select([connection], [], [], 0.0)[0]))
+        started_at = link.loop.time()
+        connection.recv(65_536)
+        connection.send(head)
+        await until(lambda: bool(events.outcomes))
+        assert events.outcomes == [(outcome, None)] and link.loop.time() - started_at < 0.5
+
+    asyncio.run(scenario())
+
+
 def test_a_silent_holder_is_not_the_only_engine_asked_to_release(engine: Engine) -> None:
     """Seen in a fleet that lost a zone: a front node with no other connection asked the holder five times, as
     the log field "tried" showed, and gave up. Any engine releases what another one holds."""
