--- a/heathford/wire/event_stream.py
+++ b/heathford/wire/event_stream.py
@@ -5,7 +5,7 @@
 stream looks like that.
 """
 
-from typing import NamedTuple
+from dataclasses import dataclass
 
 from heathford.wire.http1 import MalformedMessageError
 from heathford.wire.json_prefix import begins_json_object
@@ -17,7 +17,8 @@
 MAX_BYTES_WITHOUT_DATA = 16_384  # that an incomplete event may have before its data
 
 
-class ServerSentEvent(NamedTuple):
+@dataclass(frozen=True, slots=True)
+class ServerSentEvent:
     """What came up to a blank line. raw: as received; data: None if it has none, as with a comment."""
 
     raw: bytes
