--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,96 @@
+"""Answers whose sender goes on without end: each reader waits for content, not for bytes."""
+
+import asyncio
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, suppress
+from itertools import chain
+
+import pytest
+from test_link import HEAD, TOKEN, RecordedCallEvents
+
+from heathford.core.protocols import Endpoint
+from heathford.engines.link import EngineLink
+from heathford.interface import Outcome, Role
+from heathford.standin.platform import STREAM, chunk
+from heathford.standin.stream_faults import SPOILT_STREAMS, SpoiltStream
+
+MAX_SILENCE = 0.3  # s, in place of each reader's own limit
+END_LIMIT = 1.5  # s in which each reader has to end: far more than its limit, far less than PLAY_SECONDS
+PLAY_SECONDS = 4.0
+PART_INTERVAL = 0.05  # s
+JSON_HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+@asynccontextmanager
+async def server_of(parts: Iterator[bytes]) -> AsyncIterator[int]:
+    """Serve these parts, one each PART_INTERVAL, to each client; yield the port."""
+    all_parts = list(zip(parts, range(int(PLAY_SECONDS / PART_INTERVAL)), strict=False))
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with suppress(OSError, asyncio.IncompleteReadError):
+            await reader.readuntil(b"\r\n\r\n")
+            for part, _ in all_parts:
+                writer.write(part)
+                await asyncio.sleep(PART_INTERVAL)
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        yield server.sockets[0].getsockname()[1]
+    finally:
+        server.close()
+
+
+CHUNKED_STREAMS = {kind: stream for kind, stream in SPOILT_STREAMS.items() if stream.head == STREAM}
+
+
+@pytest.mark.parametrize("stream", CHUNKED_STREAMS.values(), ids=CHUNKED_STREAMS)
+def test_a_spoilt_stream_does_not_hold_the_link_to_engines(stream: SpoiltStream) -> None:
+    """The link of the other fronts counted any byte as progress of a stream."""
+
+    async def scenario() -> None:
+        recorded, loop = RecordedCallEvents(), asyncio.get_running_loop()
+        link = EngineLink(
+            connect_timeout=0.5,
+            connections=8,
+            idle=5.0,
+            stream_silence=MAX_SILENCE,
+            longest_line=300_000,
+            pin_limit=0.3,
+        )
+        async with server_of(chain([HEAD + chunk(TOKEN)], stream.parts())) as port:
+            endpoint = Endpoint(1, "e", Role.DECODE, "127.0.0.1", port)
+            link.send(endpoint, "c.0", {"prompt": "x"}, None, "", 0.3, recorded)
+            await recorded.begun.wait()
+            started = loop.time()
+            await asyncio.wait_for(recorded.over.wait(), PLAY_SECONDS)
+            assert loop.time() - started < END_LIMIT
+            assert recorded.outcome in (Outcome.TIMED_OUT, Outcome.ERROR)
+        link.stop()
+
+    asyncio.run(scenario())
+
+
+def test_empty_deltas_are_progress_of_a_stream() -> None:
+    """An event without text was none: a sound stream of such events was cut off."""
+
+    async def scenario() -> None:
+        recorded = RecordedCallEvents()
+        link = EngineLink(
+            connect_timeout=0.5,
+            connections=8,
+            idle=5.0,
+            stream_silence=MAX_SILENCE,
+            longest_line=2_000,
+            pin_limit=0.3,
+        )
+        empty_deltas = [chunk(TOKEN.replace(b" a", b""))] * 12
+        end = chunk(TOKEN) + chunk(b"data: [DONE]\n\n") + b"0\r\n\r\n"
+        async with server_of(iter([HEAD + chunk(TOKEN), *empty_deltas, end])) as port:
+            endpoint = Endpoint(1, "e", Role.DECODE, "127.0.0.1", port)
+            link.send(endpoint, "c.0", {"prompt": "x"}, None, "", 0.3, recorded)
+            await asyncio.wait_for(recorded.over.wait(), PLAY_SECONDS)
+            assert recorded.outcome is Outcome.FINISHED
+        link.stop()
+
+    asyncio.run(scenario())
