Client libraries wait for content of an answer, not for bytes

What callers saw: HttpClient waited without end for a front node that sent a byte of a head, of a size line or of a comment now and then; the batch client too. Cause: each read had the whole time limit anew, also before the first event (client/http.py), and any byte counted (client/batches.py). Now the time until the first event is one span, and events renew the limit behind it, bytes of the body that of the batch client.

--- a/heathford/client/batches.py
+++ b/heathford/client/batches.py
@@ -16,7 +16,8 @@
 from heathford.wire.http1 import MalformedMessageError, Response
 
 CONNECT_TIMEOUT = 2.0  # s
-MAX_SILENCE = 60.0  # s without data; long, because a front node syncs an upload to disk before it answers
+# s without a byte of a body; long, because a front node syncs an upload to disk before it answers
+MAX_SILENCE = 60.0
 CHUNK_BYTES = 256 << 10  # of a file sent at once
 MAX_HEAD_BYTES = 1 << 20  # of a response head
 POLL_INTERVALS = 0.5, 10.0  # s between two polls of a batch: the first and the longest
@@ -230,15 +231,16 @@
 
     async def answer(self, stream: IOStream, keep: Callable[[bytes], Any]) -> None:
         """Read a response; keep: called with the body of a success. Raises BadRequest or Aborted."""
+        loop = asyncio.get_running_loop()
         response, error_body = Response(MAX_HEAD_BYTES), bytearray()
-        while not response.done:
-            async with asyncio.timeout(MAX_SILENCE):
-                data = await stream.read_bytes(CHUNK_BYTES, partial=True)
-            for part in response.feed(data):
-                if response.status == 200:
-                    keep(part)
-                else:
-                    error_body += part
+        async with asyncio.timeout(MAX_SILENCE) as limit:
+            while not response.done:
+                for part in response.feed(await stream.read_bytes(CHUNK_BYTES, partial=True)):
+                    limit.reschedule(loop.time() + MAX_SILENCE)
+                    if response.status == 200:
+                        keep(part)
+                    else:
+                        error_body += part
         if response.status != 200:
             try:
                 why = str(orjson.loads(bytes(error_body))["detail"])
--- a/heathford/client/http.py
+++ b/heathford/client/http.py
@@ -18,7 +18,7 @@
 
 CONNECT_TIMEOUT = 1.0  # s in which a running front node accepts a connection
 ANSWER_GRACE = 0.5  # s after the deadline in which the front node's final answer may still arrive
-MAX_SILENCE = 30.0  # s without data after which a stream counts as lost
+MAX_SILENCE = 30.0  # s without an event after which a stream counts as lost
 PROTOCOL_VERSION = "2"  # of the protocol; a service of the previous version ignores the header
 MAX_PART_BYTES = 1 << 20  # of a response head or of one event
 READ_BYTES = 65_536
@@ -87,24 +87,31 @@
         self, stream: IOStream, timeout: float, tell: Callable[[str, str], None]
     ) -> tuple[str, str, Any]:
         """Read the response of one attempt. Raises AttemptError, or BadRequest for an invalid request."""
+        try:
+            async with asyncio.timeout(timeout + ANSWER_GRACE) as limit:
+                return await self.read_answer(stream, limit, tell)
+        except TimeoutError:
+            raise AttemptError(FailureKind.LOST, "the front node did not answer in time") from None
+
+    async def read_answer(
+        self, stream: IOStream, limit: asyncio.Timeout, tell: Callable[[str, str], None]
+    ) -> tuple[str, str, Any]:
+        """Read the response within the limit, which each event renews. Raises as `answer` does."""
+        loop = asyncio.get_running_loop()
         response, events = Response(MAX_PART_BYTES), EventStream(MAX_PART_BYTES)
         body = bytearray()
         completion, reason, usage = "", "", dict[str, Any]()
         why, retry = "", ""
-        wait = timeout + ANSWER_GRACE
         while not response.done:
-            try:
-                async with asyncio.timeout(wait):
-                    data = await stream.read_bytes(READ_BYTES, partial=True)
-            except TimeoutError:
-                raise AttemptError(FailureKind.LOST, "the front node did not answer in time") from None
-            for part in response.feed(data):
+            for part in response.feed(await stream.read_bytes(READ_BYTES, partial=True)):
                 if response.status != 200:
                     body += part
                     continue
                 for event in events.feed(part):
-                    wait = MAX_SILENCE
-                    if event.data is None or event.ends_stream:
+                    if event.data is None:
+                        continue
+                    limit.reschedule(loop.time() + MAX_SILENCE)
+                    if event.ends_stream:
                         continue
                     message = json_object(event.data)
                     if "error" in message:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,11 +3,13 @@
 import asyncio
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, suppress
-from itertools import chain
+from itertools import chain, repeat
 
 import pytest
 from test_link import HEAD, TOKEN, RecordedCallEvents
 
+from heathford.client import HttpClient, batches, http
+from heathford.client.answers import Aborted
 from heathford.core.protocols import Endpoint
 from heathford.engines.link import EngineLink
 from heathford.interface import Outcome, Role
@@ -94,3 +96,55 @@
         link.stop()
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "parts",
+    [
+        [HEAD, b"5a;"],
+        [HEAD + b"5a;", b"x"],
+        [HEAD, chunk(b": still here\n\n")],
+        [b"HTTP/1.1 200 OK\r\nX: ", b"x"],
+        [b"HTTP/1.1 502 X\r\nTransfer-Encoding: chunked\r\n\r\n", chunk(b" ")],
+    ],
+    ids=["size line", "extension", "comments", "head", "body of an error"],
+)
+def test_an_answer_without_end_does_not_hold_the_client_library(
+    monkeypatch: pytest.MonkeyPatch, parts: list[bytes]
+) -> None:
+    """Each read had the whole time limit anew, before the first event too."""
+    monkeypatch.setattr(http, "MAX_SILENCE", MAX_SILENCE)
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        async with (
+            server_of(chain(parts[:1], repeat(parts[1]))) as port,
+            HttpClient([f"http://127.0.0.1:{port}"]) as client,
+        ):
+            started = loop.time()
+            with pytest.raises(Aborted):
+                await client.complete("w", "x", timeout=MAX_SILENCE, repeatable=False)
+            assert loop.time() - started < END_LIMIT
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "parts", [[JSON_HEAD, b"0"], [JSON_HEAD + b"5a;", b"x"], [b"HTTP/1.1 200 OK\r\nX: ", b"x"]]
+)
+def test_an_answer_without_end_does_not_hold_the_batch_client(
+    monkeypatch: pytest.MonkeyPatch, parts: list[bytes]
+) -> None:
+    """Any byte renewed the time limit, also one of a head or of a size line."""
+    monkeypatch.setattr(batches, "MAX_SILENCE", MAX_SILENCE)
+    monkeypatch.setattr(batches, "MAX_TRIES", 1)
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        async with server_of(chain(parts[:1], repeat(parts[1]))) as port:
+            started = loop.time()
+            with pytest.raises(Aborted):
+                await batches.Batches(f"http://127.0.0.1:{port}").get("b1")
+            assert loop.time() - started < END_LIMIT
+
+    asyncio.run(scenario())
