A watch of the registry that sends no whole line is opened anew

A registry, or what stands before it, that sends bytes and never a line kept a front on an old endpoint list: each read had the 10 s of the watch anew, and a whole list had no limit in all. Now whole lines renew the watch's time, as discovery/follower.py does, and a list has 30 s.

--- a/heathford/fleet/registry_client.py
+++ b/heathford/fleet/registry_client.py
@@ -13,6 +13,7 @@
 
 PATH = "/api/v1/engines"
 READ_BYTES = 65_536  # bytes read at once
+LIST_TIMEOUT = 30.0  # s for a whole list, which has some MB at most
 MAX_LIST_BYTES = 16_777_216  # a list of tens of thousands of engines
 
 log = structlog.get_logger()
@@ -52,7 +53,8 @@
                 await asyncio.sleep(delay)
 
     async def list_all(self) -> None:
-        body = b"".join([part async for part in self.get(PATH)])
+        async with asyncio.timeout(LIST_TIMEOUT):
+            body = b"".join([part async for part in self.get(PATH)])
         entries = self.follower.apply_list(body, asyncio.get_running_loop().time(), time.time())
         for item, reason in self.follower.skipped.items():
             log.error("engine passed over", engine=item, why=reason)
@@ -60,35 +62,37 @@
         self.first_list.set()
 
     async def watch(self) -> None:
-        splitter = LineSplitter(MAX_LIST_BYTES)
+        """Apply events until the watch ends. Raises TimeoutError where no whole line comes in time.
+
+        A byte shows that a process writes, not that events come.
+        """
+        loop, splitter = asyncio.get_running_loop(), LineSplitter(MAX_LIST_BYTES)
         path = f"{PATH}?watch=1&allowWatchBookmarks=true&resourceVersion={self.follower.version}"
-        async for part in self.get(path):
-            for line in splitter.feed(part):
-                entries = self.follower.apply_event(line, asyncio.get_running_loop().time(), time.time())
-                if entries is None:
-                    return
-                if entries:
-                    self.changed(False, entries)
+        async with asyncio.timeout(WATCH_TIMEOUT) as limit:
+            async for part in self.get(path):
+                for line in splitter.feed(part):
+                    limit.reschedule(loop.time() + WATCH_TIMEOUT)
+                    entries = self.follower.apply_event(line, loop.time(), time.time())
+                    if entries is None:
+                        return
+                    if entries:
+                        self.changed(False, entries)
 
     async def get(self, path: str) -> AsyncIterator[bytes]:
-        """Yield the parts of the response body as they arrive.
+        """Yield the parts of the response body as they arrive; the caller limits the time.
 
-        Raises ListError for any status but 200, StreamClosedError and OSError (this includes TimeoutError).
+        Raises ListError for any status but 200, StreamClosedError and OSError.
         """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         if self.source:
             sock.bind((self.source, 0))
         stream = IOStream(sock)
         try:
-            async with asyncio.timeout(WATCH_TIMEOUT):
-                await stream.connect((self.address, self.port))
-                await stream.write(
-                    encode_request("GET", path, self.address, {"Accept": "application/json"}, b"")
-                )
+            await stream.connect((self.address, self.port))
+            await stream.write(encode_request("GET", path, self.address, {"Accept": "application/json"}, b""))
             response = Response(MAX_LIST_BYTES)
             while not response.done:
-                async with asyncio.timeout(WATCH_TIMEOUT):
-                    data = await stream.read_bytes(READ_BYTES, partial=True)
+                data = await stream.read_bytes(READ_BYTES, partial=True)
                 for part in response.feed(data):
                     if response.status == 410:
                         self.follower.version = 0
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -12,6 +12,8 @@
 from heathford.client.answers import Aborted
 from heathford.core.protocols import Endpoint
 from heathford.engines.link import EngineLink
+from heathford.fleet import registry_client
+from heathford.fleet.list_watch import RegistryFollower
 from heathford.interface import Outcome, Role
 from heathford.standin.platform import STREAM, chunk
 from heathford.standin.stream_faults import SPOILT_STREAMS, SpoiltStream
@@ -148,3 +150,28 @@
             assert loop.time() - started < END_LIMIT
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    "parts", [[JSON_HEAD, chunk(b" ")], [JSON_HEAD, chunk(b"\n")], [JSON_HEAD + b"5a;", b"x"]]
+)
+@pytest.mark.parametrize("version", [0, 7], ids=["list", "watch"])
+def test_an_answer_without_end_does_not_hold_the_endpoint_list(
+    monkeypatch: pytest.MonkeyPatch, parts: list[bytes], version: int
+) -> None:
+    """Any byte renewed the time limit of the watch, which was never opened anew then."""
+    monkeypatch.setattr(registry_client, "WATCH_TIMEOUT", MAX_SILENCE)
+    monkeypatch.setattr(registry_client, "LIST_TIMEOUT", MAX_SILENCE)
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        follower = RegistryFollower({"k": (0, Role.PREFILL)}, ["z"], ["r"], 1)
+        follower.version = version
+        async with server_of(chain(parts[:1], repeat(parts[1]))) as port:
+            client = registry_client.RegistryClient("127.0.0.1", port, follower, lambda whole, entries: None)
+            started = loop.time()
+            with pytest.raises(TimeoutError):
+                await (client.watch() if version else client.list_all())
+            assert loop.time() - started < END_LIMIT
+
+    asyncio.run(scenario())
