The soak's engines spoil streams and write sound ones slowly

Its engines wrote whole, sound events or nothing, and its oracle did not judge how long a client waits behind an engine's last event. The oracle tells a client left waiting for more than 5 s after the last sound event, also at the end of the run, and a spoilt stream that ended as if whole; a slow sound stream that is cut was a breach already. What an engine's fetch of a prefill state frees is a record of its own, as a stream may outlast the run; a drained engine ends after its streams.

--- a/heathford/soak/client.py
+++ b/heathford/soak/client.py
@@ -12,7 +12,7 @@
 
 from heathford.soak.engine import LATE_EVENT_THRESHOLD, EVENT_TIMESTAMP
 from heathford.soak.plan import FaultKind
-from heathford.soak.records import Record, RecordKind
+from heathford.soak.records import NEVER_ANSWERED, Record, RecordKind
 
 RecordCallback = Callable[[Record], None]
 STALL_TIMEOUT = 5.0  # s added to LATE_ANSWER_WAIT, for an answer that stalls or never comes
@@ -134,7 +134,7 @@
                 await self.read_answer(name, reused)
         except TimeoutError:
             # Also where the answer had begun, but did not end.
-            self.record(RecordKind.LOST, name, text="never answered")
+            self.record(RecordKind.LOST, name, text=NEVER_ANSWERED)
             self.disconnect()
 
     async def read_answer(self, name: str, reused: bool) -> None:
--- a/heathford/soak/engine.py
+++ b/heathford/soak/engine.py
@@ -15,6 +15,16 @@
 from heathford.soak.records import Record, RecordKind
 from heathford.soak.relay import ConnectionObserver
 from heathford.standin.platform import STREAM, RESPONSES, StandInServer, chunk
+from heathford.standin.stream_faults import (
+    SPOILT_STREAMS,
+    TOKEN_EVENT,
+    in_chunks,
+    in_chunks_with_extensions,
+    in_one_chunk,
+    slow_stream,
+    token_event,
+    write_slowly,
+)
 from heathford.wire.requests import RequestError, Request
 
 EVENTS_PER_STREAM = 6
@@ -22,6 +32,11 @@
 PREFILL_DURATIONS = (0.01, 0.08)  # s; shortest and longest
 DECODE_DURATIONS = (0.01, 0.08)  # s until the first event; shortest and longest
 HANG_POLL_INTERVAL = 0.02  # s between two checks of a hanging engine whether its connection is closed
+MAX_EVENTS_BEFORE_SPOILT = 4
+SPOILT_DURATION = 8.0  # s that a spoilt stream goes on; clients may wait for 5 s
+SLOW_EVENT_DURATIONS = (4.2, 6.0)  # s for one event; shortest and longest: more than silence may last
+SLOW_EVENT_SIZES = (230, 30_000)  # bytes
+SLOW_EVENT_FRAMES = (in_chunks, in_chunks_with_extensions, in_one_chunk)
 NOT_HELD = "gone"
 MAX_REQUEST_BYTES = 1 << 20
 EVENT_TIMESTAMP = re.compile(
@@ -62,6 +77,7 @@
         self.active_faults: list[FaultKind] = []
         self.readers: dict[asyncio.StreamWriter, asyncio.StreamReader] = {}
         self.state, self.boot_ms = "SERVING", 0
+        self.open_streams = 0
 
     def endpoint_entry(self, port: int) -> dict[str, Any]:
         """Return the engine's entry of the endpoint list, with the port of its relay."""
@@ -127,6 +143,7 @@
                 if self.front_closed(writer):
                     return
                 self.held_states.pop(name, None)
+            self.record(RecordKind.FETCHED, name)
             await self.stream(name, writer)
 
     @contextmanager
@@ -145,6 +162,44 @@
                 await asyncio.sleep(HANG_POLL_INTERVAL)
 
     async def stream(self, name: str, writer: asyncio.StreamWriter) -> None:
+        """Write a stream, whole and in time unless a fault is active."""
+        self.open_streams += 1
+        try:
+            if FaultKind.ENGINE_SPOILS in self.active_faults:
+                await self.spoil_stream(name, writer)
+            elif FaultKind.ENGINE_WRITES_SLOWLY in self.active_faults:
+                await self.write_stream_slowly(name, writer)
+            else:
+                await self.write_stream(name, writer)
+        finally:
+            self.open_streams -= 1
+
+    async def spoil_stream(self, name: str, writer: asyncio.StreamWriter) -> None:
+        """Write some sound events, then one of the kinds of spoilt streams, until the connection ends."""
+        how = self.random.choice(list(SPOILT_STREAMS))
+        stream = SPOILT_STREAMS[how]
+        writer.write(stream.head)
+        for _ in range(self.random.randint(1, MAX_EVENTS_BEFORE_SPOILT)):
+            writer.write(stream.frame(TOKEN_EVENT))
+            await asyncio.sleep(EVENT_INTERVAL)
+        self.record(RecordKind.ENGINE_SAID, name, "stream")
+        self.record(RecordKind.SPOILT, name, how)
+        end = monotonic() + SPOILT_DURATION
+        for part in stream.parts():
+            if self.front_closed(writer) or monotonic() >= end:
+                return
+            writer.write(part)
+            await asyncio.sleep(stream.interval)
+
+    async def write_stream_slowly(self, name: str, writer: asyncio.StreamWriter) -> None:
+        """Write a sound stream, one of whose events comes in parts over several seconds."""
+        size, frame = self.random.choice(SLOW_EVENT_SIZES), self.random.choice(SLOW_EVENT_FRAMES)
+        seconds = self.random.uniform(*SLOW_EVENT_DURATIONS)
+        self.record(RecordKind.WRITES_SLOWLY, name)
+        await write_slowly(slow_stream(token_event(b"x" * size), seconds, frame), writer)
+        self.record(RecordKind.ENGINE_SAID, name, "stream")
+
+    async def write_stream(self, name: str, writer: asyncio.StreamWriter) -> None:
         writer.write(STREAM)
         for number in range(EVENTS_PER_STREAM):
             if number:
--- a/heathford/soak/plan.py
+++ b/heathford/soak/plan.py
@@ -59,6 +59,8 @@
     CLIENTS_LEAVE = "clients: close the connection in mid-request or while waiting"
     CLIENTS_BAD = "clients: incomplete requests, malformed bytes, silence"
     LOOKS_FAIL = "front: poll, shutdown, ioctl and epoll_ctl fail"
+    ENGINE_SPOILS = "engine: spoils streams after their first events"
+    ENGINE_WRITES_SLOWLY = "engine: writes sound events slowly"
     ENGINE_STOPPED = (
         "engine: stopped; the kernel accepts connections and bytes until its accept queue is full"
     )
@@ -142,14 +144,21 @@
 )
 
 
+STREAM_FAULTS = (FaultKind.ENGINE_SPOILS, FaultKind.ENGINE_WRITES_SLOWLY)
+STREAM_FAULT_COUNTS = (2, 5)  # in one run, beside the groups of other faults; fewest and most
+STREAM_FAULT_DURATIONS = (1.0, 4.0)  # s; shortest and longest
+STREAM_JUDGEMENT_TIME = 7.0  # s before the end of a run, from which the end of a stream may be missed
+
+
 def draw_plan(seed: int, seconds: float) -> Plan:
-    """Return a plan with groups of two or three overlapping or adjacent faults.
+    """Return a plan with groups of two or three overlapping or adjacent faults, and faults of streams.
 
     Each fault of a group starts within ADJACENCY_GAP of the start or end of an earlier one.
     """
     random = Random(seed)
     longest_deadline, key_ttl = random.choice(LONGEST_DEADLINES), random.choice(KEY_TTLS)
-    kinds = list(FaultKind) + (SILENCE_WEIGHT - 1) * list(SILENCE_FAULTS) * random.choice((0, 1))
+    kinds = [kind for kind in FaultKind if kind not in STREAM_FAULTS]
+    kinds += (SILENCE_WEIGHT - 1) * list(SILENCE_FAULTS) * random.choice((0, 1))
     faults: list[Fault] = []
     at = FAULT_FREE_MARGIN
     while at < seconds - FAULT_FREE_MARGIN:
@@ -169,6 +178,7 @@
                 faults += draw_stops_during(fault, random)
             edges += [fault.at, fault.at + fault.seconds]
         at += random.uniform(0.7, 1.6)
+    faults += draw_stream_faults(seconds, random)
     in_time = [fault for fault in faults if fault.at < seconds]
     return Plan(seed, seconds, tuple(sorted(in_time, key=lambda fault: fault.at)), longest_deadline, key_ttl)
 
@@ -180,6 +190,20 @@
     return [replace(fault, at=round(fault.at + number * interval, 3)) for number in range(repeats)]
 
 
+def draw_stream_faults(seconds: float, random: Random) -> list[Fault]:
+    """Return faults of streams at times of their own: a stream outlasts most other faults."""
+    latest = max(FAULT_FREE_MARGIN, seconds - STREAM_JUDGEMENT_TIME)
+    return [
+        Fault(
+            random.choice(STREAM_FAULTS),
+            random.randrange(1_000),
+            round(random.uniform(FAULT_FREE_MARGIN, latest), 3),
+            round(random.uniform(*STREAM_FAULT_DURATIONS), 3),
+        )
+        for _ in range(random.randint(*STREAM_FAULT_COUNTS))
+    ]
+
+
 def draw_stops_during(fault: Fault, random: Random) -> list[Fault]:
     """Return stops of front nodes while the fault, a link that is read at intervals, lasts."""
     return [
--- a/heathford/soak/records.py
+++ b/heathford/soak/records.py
@@ -4,6 +4,9 @@
 from enum import Enum
 
 
+NEVER_ANSWERED = "never answered"  # text of a LOST record
+
+
 class RecordKind(Enum):
     """Kinds of records; the member names are written to records.jsonl.
 
@@ -19,6 +22,9 @@
     LAST_BYTE = "a front node has sent the complete attempt"
     DELIVERED = "an engine has read the complete attempt"
     ENGINE_SAID = "an engine has answered the attempt"
+    FETCHED = "an engine has fetched the prefill state for a decode attempt"
+    SPOILT = "an engine has written the last sound event of a stream that it spoils; text: how"
+    WRITES_SLOWLY = "an engine has begun to write a sound stream slowly"
     PASSED_ON = "the attempt's answer has passed the link to the front node"
     GIVEN_UP = "a front node has closed the attempt's connection"
     RELEASED = "an engine has read a release"
--- a/heathford/soak/request_history.py
+++ b/heathford/soak/request_history.py
@@ -29,6 +29,9 @@
     answered_at: float = inf
     closed_at: float = inf
     passed_on_at: float = inf  # when the link had passed on the complete answer
+    spoilt_at: float = inf  # when its engine had written the last sound event of a stream that it spoils
+    spoilt_how: str = ""
+    written_slowly: bool = False  # a sound stream, by its engine
 
     @property
     def has_run(self) -> bool:
@@ -47,6 +50,10 @@
             self.delivered_at, self.is_prefill = record.time, record.text == "prefill"
         elif record.kind is RecordKind.ENGINE_SAID:
             self.outcome, self.answered_at = record.text, record.time
+        elif record.kind is RecordKind.SPOILT:
+            self.spoilt_at, self.spoilt_how = record.time, record.text
+        elif record.kind is RecordKind.WRITES_SLOWLY:
+            self.written_slowly = True
         elif record.kind is RecordKind.PASSED_ON:
             self.passed_on_at = record.time
         elif record.kind is RecordKind.GIVEN_UP:
@@ -67,6 +74,17 @@
     cuts: list[Record] = field(default_factory=list)
     attempts: list[Attempt] = field(default_factory=list)
     releases: list[float] = field(default_factory=list)
+    fetches: list[float] = field(default_factory=list)  # of the prefill state, by an engine
+
+    @property
+    def last_attempt_spoilt(self) -> bool:
+        """Whether the engine of the last attempt has spoilt its stream."""
+        return bool(self.attempts) and self.attempts[-1].spoilt_at < inf
+
+    @property
+    def last_attempt_slow(self) -> bool:
+        """Whether the engine of the last attempt writes its sound stream slowly."""
+        return bool(self.attempts) and self.attempts[-1].written_slowly
 
     def find_attempt(self, record: Record) -> Attempt | None:
         """Return the latest attempt at the record's engine that the record can belong to.
@@ -116,6 +134,8 @@
             self.attempts.append(Attempt(record.engine, record.time))
         elif kind is RecordKind.RELEASED:
             self.releases.append(record.time)
+        elif kind is RecordKind.FETCHED:
+            self.fetches.append(record.time)
         elif attempt := self.find_attempt(record):
             attempt.add(record)
 
--- a/heathford/soak/run.py
+++ b/heathford/soak/run.py
@@ -14,21 +14,29 @@
 from heathford.soak.engine import EngineConnectionObserver, SoakEngine
 from heathford.soak.front import SHIM_FAULTS, CLOCK_STEPS, FrontProcess
 from heathford.soak.oracle import Limits
-from heathford.soak.plan import FaultKind, Plan, Fault
+from heathford.soak.plan import STREAM_FAULTS, FaultKind, Plan, Fault
 from heathford.soak.records import Record, RecordKind
 from heathford.soak.relay import CLOSE_DELAY, ConnectionObserver, Relay
 from heathford.standin.platform import SECOND, DiscoveryAgent, settings
 
-ENGINE_COUNT = 10  # half of them prefill, in two zones
+ENGINE_COUNT = 10  # in two zones
+FIRST_DECODE_SLOT = ENGINE_COUNT // 2  # the engines before it are prefill engines
 CLIENTS_PER_FRONT = 4
 DRAIN_GRACE = 0.5  # s after which a draining engine may get no new attempts
 DRAIN_PERIOD = 1.5  # s from the announced drain to the start of the replacement, and from there to the stop
+STREAM_POLL_INTERVAL = 0.1  # s between two checks whether a drained engine still writes streams
 ENGINE_CAPACITY = 8.0  # requests per second of a warm engine
 MEASURE_INTERVAL = 2.0  # s
 LAG_CHECK_INTERVAL = 0.05  # s
 LAG_THRESHOLD = 0.02  # s
 READY_TIMEOUT = 30.0  # s
-ENGINE_FAULTS = (FaultKind.ENGINE_ERRORS, FaultKind.ENGINE_FULL, FaultKind.ENGINE_HANGS)
+ENGINE_FAULTS = (
+    FaultKind.ENGINE_ERRORS,
+    FaultKind.ENGINE_FULL,
+    FaultKind.ENGINE_HANGS,
+    FaultKind.ENGINE_SPOILS,
+    FaultKind.ENGINE_WRITES_SLOWLY,
+)
 FRONT_FAULTS = frozenset(
     {
         FaultKind.TERMINATE,
@@ -126,7 +134,7 @@
         self.zones[uid] = zone
         server = SoakEngine(
             uid,
-            slot < ENGINE_COUNT // 2,
+            slot < FIRST_DECODE_SLOT,
             zone,
             self.held_states,
             self.waiting_decodes,
@@ -242,7 +250,7 @@
         await asyncio.sleep(max(0.0, at - monotonic()))
         kind, seconds = fault.kind, fault.seconds
         front = self.fronts[fault.target % self.front_count]
-        slot = fault.target % ENGINE_COUNT
+        slot = engine_slot(fault)
         engine = self.engines[slot]
         if kind is FaultKind.ROLE_SILENT:
             await self.silence_role(fault)
@@ -283,10 +291,10 @@
 
     async def silence_role(self, fault: Fault) -> None:
         """Silence the links of all but one of the engines of a role at the same time."""
-        half = ENGINE_COUNT // 2
-        first = half * (fault.target % 2)
-        spared = first + fault.target // 2 % half
-        engines = [self.engines[slot] for slot in range(first, first + half) if slot != spared]
+        first = FIRST_DECODE_SLOT * (fault.target % 2)
+        slots = range(first, first + FIRST_DECODE_SLOT)
+        spared = slots[fault.target // 2 % len(slots)]
+        engines = [self.engines[slot] for slot in slots if slot != spared]
         for engine in engines:
             self.add_record(
                 Record(
@@ -345,6 +353,8 @@
         self.engines[slot] = new
         self.announce(old, new)
         await asyncio.sleep(DRAIN_PERIOD)
+        while old.server.open_streams:  # an engine that drains finishes what it has
+            await asyncio.sleep(STREAM_POLL_INTERVAL)
         old.relay.close()
         old.server.close()
         self.draining.discard(slot)
@@ -386,6 +396,13 @@
         await asyncio.sleep(0)
 
 
+def engine_slot(fault: Fault) -> int:
+    """Return the slot of the engine that a fault targets: any one, or one that writes streams."""
+    if fault.kind in STREAM_FAULTS:
+        return FIRST_DECODE_SLOT + fault.target % (ENGINE_COUNT - FIRST_DECODE_SLOT)
+    return fault.target % ENGINE_COUNT
+
+
 async def open_idle_connections(port: int, seconds: float) -> None:
     """Open idle connections, more than a front node can keep, and abort them after `seconds`.
 
--- a/heathford/standin/stream_faults.py
+++ b/heathford/standin/stream_faults.py
@@ -166,5 +166,7 @@
     """Write a slow stream with its head."""
     writer.write(STREAM)
     for part in stream.parts:
+        if writer.is_closing():
+            return
         writer.write(part)
         await asyncio.sleep(stream.interval)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -76,6 +76,19 @@
     Record(10.2, RecordKind.ENGINE_SAID, "", "c", "r", 0.0, "read"),
 ]
 
+SPOILT = [
+    *PREFILLED,
+    *attempt(10.1, "w", "stream"),
+    Record(10.15, RecordKind.SPOILT, "", "c", "w", 0.0, "noise"),
+]
+
+WRITTEN_SLOWLY = [
+    *PREFILLED,
+    *attempt(10.1, "w", "")[:3],
+    Record(10.15, RecordKind.FETCHED, "", "c", "w"),
+    Record(10.15, RecordKind.WRITES_SLOWLY, "", "c", "w"),
+]
+
 BREACHES: dict[str, list[Record]] = {
     "1 one answer": [*CLEAN, answered(10.5, 502)],
     "1 one answer, lost": [asked(), Record(11.0, RecordKind.LOST, "n", "c", "", 0.0, "new"), *CLEAN[-1:]],
@@ -218,6 +231,24 @@
         answered(13.2, 502),
         Record(13.1, RecordKind.LOG, "n", text='{"completion": "c", "out": null, "event": "overdue"}'),
     ],
+    "1 left waiting": [
+        *SPOILT,
+        Record(15.3, RecordKind.CUT, "n", "c"),
+        *CLEAN[-1:],
+    ],
+    "1 left waiting, to the end of the run": [*SPOILT, *CLEAN[-1:]],
+    "1 spoilt stream, ended as if whole": [*SPOILT, answered(10.4, 200), *CLEAN[-1:]],
+    "1 one answer, lost while its engine writes slowly": [
+        *WRITTEN_SLOWLY,
+        Record(18.0, RecordKind.LOST, "n", "c", "", 0.0, "never answered"),
+        *CLEAN[-1:],
+    ],
+    "1 one answer, cut while its engine writes slowly": [
+        Record(9.0, RecordKind.TROUBLE, engine="w", value=2.0, text="ENGINE_WRITES_SLOWLY"),
+        *CLEAN[:-2],
+        Record(10.3, RecordKind.CUT, "n", "c"),
+        *CLEAN[-1:],
+    ],
     "descriptors": [*CLEAN, Record(30.0, RecordKind.MEASURE, "n", value=170, text="30000")],
     "memory": [*CLEAN, Record(30.0, RecordKind.MEASURE, "n", value=40, text="80000")],
 }
@@ -299,6 +330,33 @@
             Record(12.1, RecordKind.ENGINE_SAID, "", "c", "r", 0.0, "read"),
             *CLEAN[-1:],
         ],
+        [
+            *PREFILLED,
+            *attempt(10.1, "w", "")[:3],
+            Record(10.15, RecordKind.FETCHED, "", "c", "w"),
+            Record(10.4, RecordKind.GIVEN_UP, "", "c", "w"),
+            *CLEAN[-1:],
+        ],
+        [
+            Record(9.0, RecordKind.TROUBLE, engine="w", value=4.0, text="ENGINE_STOPPED"),
+            *WRITTEN_SLOWLY,
+            Record(18.0, RecordKind.LOST, "n", "c", "", 0.0, "never answered"),
+            *CLEAN[-1:],
+        ],
+        [*SPOILT, Record(15.1, RecordKind.CUT, "n", "c"), *CLEAN[-1:]],
+        [
+            asked(request_class="chat"),
+            *SPOILT[1:],
+            *attempt(10.3, "w2", "stream"),
+            answered(10.6, 200),
+            *CLEAN[-1:],
+        ],
+        [
+            Record(10.0, RecordKind.TROUBLE, engine="w", value=1.0, text="LINK_DELAY"),
+            *SPOILT,
+            Record(15.3, RecordKind.CUT, "n", "c"),
+            *CLEAN[-1:],
+        ],
         [*LATE_PREFILL, *attempt(10.25, "w", "stream"), answered(10.4, 200), *CLEAN[-1:]],
         [
             Record(9.5, RecordKind.ENDING, "n"),
