A part that is one event is parsed in one step

Now a part that is one event of one line, the usual case, is matched at once, and progress is counted within the incomplete event only.

--- a/heathford/engines/stream_progress.py
+++ b/heathford/engines/stream_progress.py
@@ -22,19 +22,19 @@
     def __init__(self, max_silence: float, events: EventStream, now: float) -> None:
         self.max_silence, self.events = max_silence, events
         self.last_byte_at = self.last_progress_at = self.last_event_at = now
-        self.seen_events, self.seen_data_bytes = events.event_count, events.data_bytes
+        self.seen_events, self.seen_data_bytes = events.event_count, events.incomplete_data_bytes
         self.bytes_since_event = 0  # received, those of the framing among them
 
     def received(self, now: float, size: int) -> None:
         """Record that so many bytes came, which the parser has been fed."""
         self.last_byte_at = now
         self.bytes_since_event += size
+        data_bytes = self.events.incomplete_data_bytes
         if self.events.event_count > self.seen_events:
-            self.seen_events = self.events.event_count
+            self.seen_events, self.seen_data_bytes = self.events.event_count, data_bytes
             self.last_event_at = self.last_progress_at = now
             self.bytes_since_event = 0
-        data_bytes = self.events.data_bytes
-        if data_bytes > self.seen_data_bytes:
+        elif data_bytes > self.seen_data_bytes:
             self.seen_data_bytes = data_bytes
             self.last_progress_at = now
 
--- a/heathford/wire/event_stream.py
+++ b/heathford/wire/event_stream.py
@@ -5,6 +5,7 @@
 stream looks like that.
 """
 
+import re
 from dataclasses import dataclass
 
 from heathford.wire.http1 import MalformedMessageError
@@ -14,20 +15,22 @@
 FIELDS = (DATA_FIELD, b"event:", b"id:", b"retry:", b":")  # the last one begins a comment
 LONGEST_FIELD = max(map(len, FIELDS))
 DONE = b"[DONE]"  # the data of a completion stream's last event
+SINGLE_EVENT_START, EVENT_END = b"data: ", b"\n\n"
+SINGLE_EVENT = re.compile(rb"data: [^\n]*[^\s]\n\n")  # what a part usually is: one event of one line
 MAX_BYTES_WITHOUT_DATA = 16_384  # that an incomplete event may have before its data
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class ServerSentEvent:
-    """What came up to a blank line. raw: as received; data: None if it has none, as with a comment."""
+    """What came up to a blank line.
+
+    raw: as received; data: None if it has none, as with a comment; ends_stream: whether it is the last event
+    of a completion stream.
+    """
 
     raw: bytes
     data: bytes | None
-
-    @property
-    def ends_stream(self) -> bool:
-        """Whether it is the last event of a completion stream."""
-        return self.data is not None and self.data.strip() == DONE
+    ends_stream: bool
 
 
 class EventStream:
@@ -44,13 +47,15 @@
         self.data_lines: list[bytes] = []  # of the incomplete event
         self.event_count = 0
         self.finished = False
-        self.data_line_bytes = 0  # all complete lines with data so far
+        self.data_line_bytes = 0  # of the incomplete event's complete lines with data
 
     def feed(self, part: bytes) -> list[ServerSentEvent]:
         """Return the events that are now complete. Raises MalformedMessageError.
 
         Only the new bytes are searched: an event may come in chunks of one byte.
         """
+        if not self.buffer and not self.finished and SINGLE_EVENT.fullmatch(part):
+            return [self.complete_event(part, part[len(SINGLE_EVENT_START) : -len(EVENT_END)])]
         events = []
         search_from, event_start = len(self.buffer), 0
         self.buffer += part
@@ -81,14 +86,16 @@
 
     def end_event(self, raw: bytes) -> ServerSentEvent:
         """Return the event that a blank line has completed; one with empty data is none by the standard."""
-        data = b"\n".join(self.data_lines)
+        data = self.data_lines[0] if len(self.data_lines) == 1 else b"\n".join(self.data_lines)
         self.data_lines = []
-        if not data:
-            return ServerSentEvent(raw, None)
+        self.data_line_bytes = 0
+        return self.complete_event(raw, data) if data else ServerSentEvent(raw, None, False)
+
+    def complete_event(self, raw: bytes, data: bytes) -> ServerSentEvent:
+        """Count and return an event with data."""
         self.event_count += 1
-        event = ServerSentEvent(raw, data)
-        self.finished = event.ends_stream
-        return event
+        self.finished = data.strip() == DONE
+        return ServerSentEvent(raw, data, self.finished)
 
     def check_incomplete(self) -> None:
         """Raise MalformedMessageError if the buffer is too long, or begins no field."""
@@ -107,11 +114,13 @@
             raise MalformedMessageError("a line that is no field of an event")
 
     @property
-    def data_bytes(self) -> int:
-        """Bytes of the lines with data so far, the incomplete line among them.
+    def incomplete_data_bytes(self) -> int:
+        """Bytes of the lines with data that were received of the incomplete event.
 
         An empty data line counts until it is complete only.
         """
+        if not self.buffer:
+            return 0
         size = len(self.buffer) - self.line_start
         is_data_line = self.line_has_data or DATA_FIELD.startswith(
             bytes(self.buffer[self.line_start : self.line_start + LONGEST_FIELD])
