The soak's oracle counts a SIGKILL under a slow stream as one

Traces: the front node got SIGKILL from the plan 5 ms before each cut, 3.2 and 4.0 s after the request; the oracle looked for it until 1.5 s past the client's deadline only, as streams took 0.3 s before. A cut is excused by a SIGKILL or a broken connection of its front node up to the cut itself now; one that comes before a SIGKILL is a breach as before, with a test.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -243,6 +243,12 @@
         Record(18.0, RecordKind.LOST, "n", "c", "", 0.0, "never answered"),
         *CLEAN[-1:],
     ],
+    "1 one answer, cut before SIGKILL while its engine writes slowly": [
+        *WRITTEN_SLOWLY,
+        Record(13.0, RecordKind.CUT, "n", "c"),
+        Record(15.6, RecordKind.TROUBLE, "n", value=0.4, text="KILL"),
+        *CLEAN[-1:],
+    ],
     "1 one answer, cut while its engine writes slowly": [
         Record(9.0, RecordKind.TROUBLE, engine="w", value=2.0, text="ENGINE_WRITES_SLOWLY"),
         *CLEAN[:-2],
@@ -343,6 +349,12 @@
             Record(18.0, RecordKind.LOST, "n", "c", "", 0.0, "never answered"),
             *CLEAN[-1:],
         ],
+        [
+            *WRITTEN_SLOWLY,
+            Record(15.6, RecordKind.TROUBLE, "n", value=0.4, text="KILL"),
+            Record(15.61, RecordKind.CUT, "n", "c"),
+            *CLEAN[-1:],
+        ],
         [*SPOILT, Record(15.1, RecordKind.CUT, "n", "c"), *CLEAN[-1:]],
         [
             asked(request_class="chat"),
