--- a/heathford/soak/oracle.py
+++ b/heathford/soak/oracle.py
@@ -3,15 +3,14 @@
 Shares no code with the front node, so that a fault there can't hide itself here.
 """
 
-import re
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from math import inf, sqrt
-from signal import SIGKILL
 
+from heathford.soak.excuses import EVENT_DELAYING_FAULTS, STOP_FAULTS, Excuses
 from heathford.soak.plan import FaultKind
 from heathford.soak.records import NEVER_ANSWERED, Record, RecordKind
-from heathford.soak.relay import CLOSE_DELAY, STEP_INTERVAL
+from heathford.soak.relay import CLOSE_DELAY
 from heathford.soak.request_history import Attempt, StateStatus, StateChange, RequestHistory, build_histories
 
 ANSWER_SLACK = 0.5  # s past a client's deadline; an answer within it is worthless, but breaks no rule
@@ -22,25 +21,9 @@
 EVENT_SLACK = 0.3  # s that a front node may take to pass on an event
 LIST_CHANGE_SLACK = 6.0  # s after which a list change has to be in effect, whatever discovery faults occurred
 BAD_CLIENT_TIMEOUT = 3.0  # s within which a client without a complete request gets an answer or a close
-STALL_ALLOWANCE = 0.15  # s for which a front node may be stopped, according to its specification
 ORDER_TOLERANCE = 0.005  # s; events on two connections that are closer were recorded in arbitrary order
-SOAK_LAG_THRESHOLD = 0.1  # s; with more lag the records are judged, not what front nodes log about time
-SOAK_SLACK = 0.03  # s; covers lag of the soak below what it records
-FAULT_AFTEREFFECT = 1.0  # s for which a fault may have effects after its end
 REFUSAL_STATUSES = (429, 503)  # rate-limited answers, which promise that the request had no effect
-OVERDUE_LOG_LINE = re.compile(r'"completion": "([^"]+)".*"event": "overdue"')
 JUDGED_BY_RECORDS = ("overdue", '"HELD"', "'HELD'")  # in log lines about time limits
-STOP_FAULTS = (
-    FaultKind.STOP_SHORT,
-    FaultKind.STOP_AMID_END,
-    FaultKind.STOP_LONG,
-)  # all but the last stop a front node for STALL_ALLOWANCE at most
-NEW_CONNECTIONS_PERIOD = 0.4  # s after SIGTERM in which clients may still open new connections
-ACCEPT_PERIOD = (
-    0.7  # s after SIGTERM; SIGKILL may cut off the requests accepted until then, but no later ones
-)
-EXIT_SLACK = 0.1  # s between the end of a process and when its clients and the soak notice it
-MAX_TERMINATION_TIME = 4.0  # s from SIGTERM to SIGKILL, with a margin
 STREAM_BREAKING_FAULTS = (  # the stream's connections break, or its engine stays silent
     FaultKind.LINK_RESET,
     FaultKind.LINK_CUT,
@@ -50,14 +33,6 @@
     FaultKind.LINK_BREAKS,
     FaultKind.ENGINE_STOPPED,
 )
-EVENT_DELAYING_FAULTS = (  # events reach the front node long after their engine wrote them
-    FaultKind.LINK_SILENT,
-    FaultKind.LINK_UNREAD,
-    FaultKind.LINK_DELAY,
-    FaultKind.LINK_DRIP,
-    FaultKind.LINK_STEPS,
-    FaultKind.ENGINE_STOPPED,
-)
 DISCOVERY_DELAY_FAULTS = (  # these delay list changes; LIST_CHANGE_SLACK applies then
     FaultKind.DISCOVERY_SILENT,
     FaultKind.DISCOVERY_SLOW,
@@ -109,133 +84,12 @@
         self.breaches: list[Breach] = []
         self.resent = 0  # requests that were lost unread, which their clients may send again
         self.histories = build_histories(self.records)
-        self.fault_records = [record for record in self.records if record.kind is RecordKind.TROUBLE]
+        self.excuses = Excuses(self.records, self.histories)
         self.prefill_engines = {
             r.engine for r in self.records if r.kind is RecordKind.DELIVERED and r.text == "prefill"
         }
-        self.termination_records = [record for record in self.records if record.kind is RecordKind.ENDING]
-        self.exit_records = [record for record in self.records if record.kind is RecordKind.EXIT]
-        self.lag_records = [record for record in self.records if record.kind is RecordKind.LAG]
         self.run_end = self.records[-1].time if self.records else 0.0
 
-    # Faults and delays that excuse a deviation.
-
-    def fault_active(
-        self, since: float, until: float, *names: str, kinds: Sequence[FaultKind] = tuple(FaultKind)
-    ) -> bool:
-        """Return whether a fault of these kinds had an effect between `since` and `until`.
-
-        names: front nodes and engines that the fault has to affect; any if there are none.
-        """
-        kind_names = {kind.name for kind in kinds}
-        return any(
-            fault.text in kind_names
-            and fault.time <= until
-            and fault.time + fault.value + FAULT_AFTEREFFECT >= since
-            and (not names or fault.front in names or fault.engine in names)
-            for fault in self.fault_records
-        )
-
-    def allowance(self, front: str, since: float, until: float) -> float:
-        """Return the seconds for which the front node was stopped or the soak itself was late."""
-        return self.stopped_time(front, since, until) + self.soak_lag(since, until) + SOAK_SLACK
-
-    def soak_lag(self, since: float, until: float) -> float:
-        """Return the sum of the soak's event loop lag in s; work of several iterations meets all of it."""
-        return sum(lag.value for lag in self.lag_records if since <= lag.time <= until + 1.0)
-
-    def overdue_within_stall_allowance(self, record: Record) -> bool:
-        """Return whether a log line reports an overdue answer that was late by a tolerated stall at most.
-
-        The front node logs it when its last timer before the client's deadline had to answer.
-        """
-        match = OVERDUE_LOG_LINE.search(record.text)
-        history = self.histories.get(match[1]) if match else None
-        return history is not None and any(
-            answer.time
-            <= history.asked_at
-            + history.budget
-            + STALL_ALLOWANCE
-            + self.soak_lag(history.asked_at, answer.time)
-            for answer in history.answers
-        )
-
-    def step_delay(self, engine: str, at: float) -> float:
-        """Return the seconds by which a relay under LINK_STEPS may record bytes and closes too late."""
-        read_in_steps = self.fault_active(at, at, engine, kinds=(FaultKind.LINK_STEPS,))
-        return STEP_INTERVAL if read_in_steps else 0.0
-
-    def soak_lagged(self, at: float) -> bool:
-        """Return whether the soak itself was so late that front nodes may have logged it as delays."""
-        return any(abs(lag.time - at) <= 1.0 and lag.value > SOAK_LAG_THRESHOLD for lag in self.lag_records)
-
-    def stopped_time(self, front: str, since: float, until: float) -> float:
-        """Return the seconds between `since` and `until` for which the front node was stopped."""
-        names = {kind.name for kind in STOP_FAULTS}
-        seconds = 0.0
-        for fault in self.fault_records:
-            if fault.front == front and fault.text in names:
-                is_long = fault.text == FaultKind.STOP_LONG.name
-                end = fault.time + (fault.value if is_long else min(fault.value, STALL_ALLOWANCE))
-                seconds += max(0.0, min(until, end) - max(since, fault.time))
-        return seconds
-
-    def stopped_too_long(self, front: str, since: float, until: float) -> bool:
-        """Return whether the front node was stopped for longer than STALL_ALLOWANCE.
-
-        Stops since its SIGTERM count as well: after a long one it does not know how soon SIGKILL follows.
-        """
-        all_terminations = [record.time for record in self.termination_records if record.front == front]
-        recent = [time for time in all_terminations if until - MAX_TERMINATION_TIME <= time <= until]
-        return self.stopped_time(front, min([since, *recent]), until) > STALL_ALLOWANCE + SOAK_SLACK
-
-    def connected_too_late(self, history: RequestHistory) -> bool:
-        """Return whether the request was sent to a terminating process after NEW_CONNECTIONS_PERIOD.
-
-        A process that has started since then has to answer it.
-        """
-        terminations = [
-            r.time
-            for r in self.termination_records
-            if r.front == history.front and r.time <= history.asked_at
-        ]
-        if not terminations:
-            return False
-        has_exited = any(
-            exited.front == history.front and terminations[-1] < exited.time <= history.asked_at
-            for exited in self.exit_records
-        )
-        return not has_exited and history.asked_at > terminations[-1] + NEW_CONNECTIONS_PERIOD
-
-    def killed(self, front: str, since: float, until: float) -> bool:
-        return any(
-            t.front == front and t.text == FaultKind.KILL.name and since - 0.1 <= t.time <= until
-            for t in self.fault_records
-        )
-
-    def front_broken(self, history: RequestHistory, until: float) -> bool:
-        """Return whether SIGKILL, or the front node's broken connections, excuse the end of a request."""
-        return self.killed(history.front, history.asked_at, until + 1.0) or self.fault_active(
-            history.asked_at, until, history.front, kinds=(FaultKind.LINK_BREAKS,)
-        )
-
-    def killed_while_terminating(self, history: RequestHistory, at: float) -> bool:
-        """Return whether SIGKILL after SIGTERM excuses that the request is unanswered.
-
-        The protocol specification, "Figures": requests that are unanswered at SIGKILL count as lost if they
-        came more than 0.7 s after SIGTERM, and only then.
-        """
-        return any(
-            exited.front == history.front
-            and exited.value == -SIGKILL
-            and abs(exited.time - at) <= EXIT_SLACK
-            and history.asked_at <= termination.time + ACCEPT_PERIOD
-            for exited in self.exit_records
-            for termination in self.termination_records
-            if termination.front == history.front
-            and 0.0 <= exited.time - termination.time <= MAX_TERMINATION_TIME
-        )
-
     def add_breach(self, rule: str, time: float, request: str, detail: str) -> None:
         self.breaches.append(Breach(rule, time, request, detail))
 
@@ -263,44 +117,42 @@
         due = history.asked_at + history.budget + ANSWER_SLACK
         for lost in history.lost:
             if (
-                self.front_broken(history, due)
+                self.excuses.front_broken(history, due)
                 or history.left_at < inf
-                or self.stopped_too_long(history.front, history.asked_at, lost.time)
+                or self.excuses.stopped_too_long(history.front, history.asked_at, lost.time)
             ):
                 continue  # the specification allows stops of 0.15 s, not longer ones
-            if lost.text == NEVER_ANSWERED and self.slow_stream_delayed(history, lost.time):
+            if lost.text == NEVER_ANSWERED and self.excuses.slow_stream_delayed(history, lost.time):
                 continue  # the stream goes on, and the client waits for a limited time
             unread = not history.attempts  # clients send a request again if it was not read
-            crowd_active = self.fault_active(lost.time, lost.time, history.front, kinds=(FaultKind.CROWD,))
-            too_late = lost.text == "new" and self.connected_too_late(history)
+            crowd_active = self.excuses.fault_active(
+                lost.time, lost.time, history.front, kinds=(FaultKind.CROWD,)
+            )
+            too_late = lost.text == "new" and self.excuses.connected_too_late(history)
             if unread and (lost.text == "reused" or crowd_active or too_late):
                 self.resent += 1
             else:
                 self.add_breach("1 one answer", lost.time, name, f"lost: {lost.text}")
         for answer in history.answers:
             late = answer.time - due
-            if answer.value != 200 and late > self.allowance(history.front, history.asked_at, answer.time):
+            if answer.value != 200 and late > self.excuses.allowance(
+                history.front, history.asked_at, answer.time
+            ):
                 self.add_breach("1 in time", answer.time, name, f"{answer.value:.0f}, {late:.2f} s late")
         for cut in history.cuts:
             engines = [attempt.engine for attempt in history.attempts]
             if (
-                not self.front_broken(history, max(due, cut.time))
+                not self.excuses.front_broken(history, max(due, cut.time))
                 and history.left_at == inf
                 and not history.last_attempt_spoilt
-                and not self.killed_while_terminating(history, cut.time)
-                and not self.stopped_too_long(history.front, history.asked_at, cut.time)
-                and not self.fault_active(
+                and not self.excuses.killed_while_terminating(history, cut.time)
+                and not self.excuses.stopped_too_long(history.front, history.asked_at, cut.time)
+                and not self.excuses.fault_active(
                     history.asked_at, cut.time, history.front, *engines, kinds=STREAM_BREAKING_FAULTS
                 )
             ):
                 self.add_breach("1 one answer", cut.time, name, "a stream was cut off without a fault")
 
-    def slow_stream_delayed(self, history: RequestHistory, until: float) -> bool:
-        """Return whether a sound stream is written slowly, and faults of its link delay it further."""
-        return history.last_attempt_slow and self.fault_active(
-            history.asked_at, until, history.attempts[-1].engine, kinds=EVENT_DELAYING_FAULTS
-        )
-
     def check_spoilt_streams(self, name: str, history: RequestHistory) -> None:
         """Check how the client's connection ended behind a stream that its engine spoilt.
 
@@ -316,8 +168,10 @@
             return
         ended_at = min((end.time for end in [*history.cuts, *history.lost]), default=self.run_end)
         waited = ended_at - attempt.spoilt_at
-        delayed = self.fault_active(attempt.spoilt_at, ended_at, attempt.engine, kinds=EVENT_DELAYING_FAULTS)
-        allowed = MAX_WAIT_BEHIND_EVENT + self.allowance(history.front, attempt.spoilt_at, ended_at)
+        delayed = self.excuses.fault_active(
+            attempt.spoilt_at, ended_at, attempt.engine, kinds=EVENT_DELAYING_FAULTS
+        )
+        allowed = MAX_WAIT_BEHIND_EVENT + self.excuses.allowance(history.front, attempt.spoilt_at, ended_at)
         if waited > allowed and not delayed:
             self.add_breach("1 left waiting", ended_at, name, f"for {waited:.3f} s: {attempt.spoilt_how}")
 
@@ -325,7 +179,7 @@
         for earlier, later in zip(history.attempts, history.attempts[1:], strict=False):
             overlap_end = min(earlier.ended_at, later.last_byte_at) if later.last_byte_at < inf else inf
             # A relay that does not read notices neither when an attempt was written nor when it was closed.
-            unobserved = self.fault_active(
+            unobserved = self.excuses.fault_active(
                 earlier.first_byte_at,
                 later.last_byte_at,
                 earlier.engine,
@@ -333,8 +187,9 @@
                 kinds=(FaultKind.LINK_UNREAD,),
             )
             # A close and a send at the same time reach the relay on two connections, in either order.
-            exceeds_tolerance = earlier.ended_at - later.last_byte_at > ORDER_TOLERANCE + self.step_delay(
-                earlier.engine, later.last_byte_at
+            exceeds_tolerance = (
+                earlier.ended_at - later.last_byte_at
+                > ORDER_TOLERANCE + self.excuses.step_delay(earlier.engine, later.last_byte_at)
             )
             if (
                 earlier.last_byte_at < later.last_byte_at < inf
@@ -373,7 +228,7 @@
 
     def check_client_gone(self, name: str, history: RequestHistory) -> None:
         for attempt in history.attempts:
-            if self.fault_active(
+            if self.excuses.fault_active(
                 attempt.first_byte_at, attempt.first_byte_at, attempt.engine, kinds=(FaultKind.LINK_UNREAD,)
             ):
                 continue  # recorded when it was read, long after it was written
@@ -381,9 +236,9 @@
                 attempt.first_byte_at
                 - history.left_at
                 - CLIENT_GONE_SLACK
-                - self.step_delay(attempt.engine, attempt.first_byte_at)
+                - self.excuses.step_delay(attempt.engine, attempt.first_byte_at)
             )
-            if late > self.allowance(history.front, history.left_at, attempt.first_byte_at):
+            if late > self.excuses.allowance(history.front, history.left_at, attempt.first_byte_at):
                 self.add_breach(
                     "client gone",
                     attempt.first_byte_at,
@@ -395,12 +250,12 @@
         for attempt in history.attempts:
             if attempt.last_byte_at < inf:
                 excess = attempt.sent_budget - (history.asked_at + history.budget - attempt.last_byte_at)
-                excess -= self.step_delay(attempt.engine, attempt.last_byte_at)
+                excess -= self.excuses.step_delay(attempt.engine, attempt.last_byte_at)
                 # Bytes on an unread link are recorded when they are read, long after they were written.
-                unread = self.fault_active(
+                unread = self.excuses.fault_active(
                     attempt.last_byte_at, attempt.last_byte_at, attempt.engine, kinds=(FaultKind.LINK_UNREAD,)
                 )
-                if not unread and excess > SENT_BUDGET_SLACK + self.allowance(
+                if not unread and excess > SENT_BUDGET_SLACK + self.excuses.allowance(
                     history.front, history.asked_at, attempt.last_byte_at
                 ):
                     self.add_breach(
@@ -480,10 +335,10 @@
         self.check_held_time(name, history, since, min(freed_at, default=self.run_end))
 
     def check_held_time(self, name: str, history: RequestHistory, since: float, until: float) -> None:
-        limit = self.limits.held_limit + HELD_SLACK + self.allowance(history.front, since, until)
-        excused = self.killed(history.front, history.asked_at, since + limit) or any(
+        limit = self.limits.held_limit + HELD_SLACK + self.excuses.allowance(history.front, since, until)
+        excused = self.excuses.killed(history.front, history.asked_at, since + limit) or any(
             exited.front == history.front and history.asked_at <= exited.time <= since + limit
-            for exited in self.exit_records
+            for exited in self.excuses.exit_records
         )
         if until - since > limit and since + limit < self.run_end and not excused:
             self.add_breach("5 held", since + limit, name, f"held for {until - since:.3f} s")
@@ -496,7 +351,7 @@
         for drain_record in self.records:
             if drain_record.kind is not RecordKind.DRAINED:
                 continue
-            is_delayed = self.fault_active(
+            is_delayed = self.excuses.fault_active(
                 drain_record.time - 2.0,
                 drain_record.time + 1.0,
                 drain_record.front,
@@ -505,7 +360,7 @@
             last_fault_end = max(
                 (
                     t.time + t.value
-                    for t in self.fault_records
+                    for t in self.excuses.fault_records
                     if t.front == drain_record.front and t.time <= drain_record.time + LIST_CHANGE_SLACK
                 ),
                 default=drain_record.time,
@@ -521,7 +376,8 @@
                     if (
                         history.front == drain_record.front
                         and attempt.engine == drain_record.engine
-                        and late > self.allowance(drain_record.front, limit - 0.5, attempt.first_byte_at)
+                        and late
+                        > self.excuses.allowance(drain_record.front, limit - 0.5, attempt.first_byte_at)
                     ):
                         self.add_breach(
                             "3 drain",
@@ -567,7 +423,7 @@
             held_back = record.value - link_delays.get((record.request, record.text), 0.0)
             front = self.histories[record.request].front
             since = record.time - held_back
-            if held_back - EVENT_SLACK > self.allowance(front, since, record.time):
+            if held_back - EVENT_SLACK > self.excuses.allowance(front, since, record.time):
                 self.add_breach("event held back", record.time, record.request, f"{held_back:.3f} s")
 
     def check_processes(self) -> None:
@@ -579,7 +435,7 @@
                 )
             elif record.kind is RecordKind.WAITED:
                 excess = record.value - BAD_CLIENT_TIMEOUT
-                if excess > self.allowance(record.front, record.time - record.value, record.time):
+                if excess > self.excuses.allowance(record.front, record.time - record.value, record.time):
                     self.add_breach(
                         "bad client", record.time, record.front, f"waited for {record.value:.3f} s"
                     )
@@ -587,18 +443,18 @@
                 record.kind is RecordKind.LOG
                 and any(word in record.text for word in JUDGED_BY_RECORDS)
                 and (
-                    self.fault_active(record.time, record.time, record.front, kinds=STOP_FAULTS)
-                    or self.soak_lagged(record.time)
+                    self.excuses.fault_active(record.time, record.time, record.front, kinds=STOP_FAULTS)
+                    or self.excuses.soak_lagged(record.time)
                 )
             ):
                 continue  # the front node or the soak was stopped meanwhile: the records are judged instead
-            elif record.kind is RecordKind.LOG and self.overdue_within_stall_allowance(record):
+            elif record.kind is RecordKind.LOG and self.excuses.overdue_within_stall_allowance(record):
                 continue  # the specification allows stops of 0.15 s
             elif record.kind is RecordKind.LOG:
                 self.add_breach("log", record.time, record.request or record.front, record.text[:600])
             elif record.kind is RecordKind.MEASURE:
                 baseline = first.setdefault(record.front, record)
-                crowd_active = self.fault_active(
+                crowd_active = self.excuses.fault_active(
                     record.time, record.time, record.front, kinds=(FaultKind.CROWD,)
                 )
                 if record.value > MAX_DESCRIPTORS or (
