--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -3,6 +3,8 @@
 from typing import Any
 
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from heathford.interface import Outcome
 from heathford.platform.answers import Answer, CompletionEvents
@@ -254,3 +256,38 @@
         with pytest.raises(MalformedMessageError):
             for byte in line:
                 answer.feed(bytes([byte]))
+
+
+STREAM_PIECES = [
+    *EVENTS,
+    b"\n",
+    b": still here\n\n",
+    b'data:{"choices":[]}\r\n\r\n',
+    b'data: {"choices":[],\n',
+    b'data: "x":1}\n\n',
+    b"event: x\n",
+    b"data:\n\n",
+    b"data: {} \n\n",
+    b"data: {{\n\n",
+    b"noise\n",
+]
+
+
+def passed_on_in_parts(data: bytes, sizes: list[int]) -> tuple[bytes, bool, int] | None:
+    """Return what is passed on of a stream in such parts, and the parser's state; None if malformed."""
+    stream, passed_on = CompletionEvents(), b""
+    for size in [*sizes, len(data)]:
+        part, data = data[:size], data[size:]
+        try:
+            passed_on += stream.pass_on(part)
+        except MalformedMessageError:
+            return None
+    return passed_on, stream.finished, stream.event_count
+
+
+@settings(derandomize=True, deadline=None)
+@given(st.lists(st.sampled_from(STREAM_PIECES), max_size=6), st.lists(st.integers(0, 90), max_size=30))
+def test_events_do_not_depend_on_the_parts_that_they_come_in(pieces: list[bytes], sizes: list[int]) -> None:
+    """Guards the step for a part that is one event against the steps for all others."""
+    data = EVENTS[0] + b"".join(pieces)
+    assert passed_on_in_parts(data, sizes) == passed_on_in_parts(data, [1] * len(data))
