--- a/heathford/engines/stream_progress.py
+++ b/heathford/engines/stream_progress.py
@@ -3,9 +3,7 @@
 from heathford.wire.event_stream import EventStream
 
 MAX_EVENT_TIME = 30.0  # s from one event to the end of the next, however steadily its bytes come
-INCOMPLETE_EVENT_CHECK_INTERVAL = (
-    1.0  # s between two checks whether an incomplete event may become a sound one
-)
+INCOMPLETE_EVENT_CHECK_INTERVAL = 1.0  # s between two checks whether it may become a sound one
 
 
 class StreamProgress:
--- a/heathford/soak/engine.py
+++ b/heathford/soak/engine.py
@@ -24,6 +24,7 @@
     slow_stream,
     token_event,
     write_slowly,
+    write_spoilt,
 )
 from heathford.wire.requests import RequestError, Request
 
@@ -184,12 +185,7 @@
             await asyncio.sleep(EVENT_INTERVAL)
         self.record(RecordKind.ENGINE_SAID, name, "stream")
         self.record(RecordKind.SPOILT, name, how)
-        end = monotonic() + SPOILT_DURATION
-        for part in stream.parts():
-            if self.front_closed(writer) or monotonic() >= end:
-                return
-            writer.write(part)
-            await asyncio.sleep(stream.interval)
+        await write_spoilt(stream, writer, SPOILT_DURATION, lambda: self.front_closed(writer))
 
     async def write_stream_slowly(self, name: str, writer: asyncio.StreamWriter) -> None:
         """Write a sound stream, one of whose events comes in parts over several seconds."""
--- a/heathford/standin/stream_faults.py
+++ b/heathford/standin/stream_faults.py
@@ -17,8 +17,8 @@
 class SpoiltStream:
     """What an engine writes in place of the rest of a stream: `start` once, then `part` again and again.
 
-    interval: s between two parts. part: may be empty, the engine is silent then. chunked: whether the sound
-    events before it come in chunks.
+    interval: s between two parts. part: may be empty, the engine is silent then. head: of the answer, which
+    tells how the sound events before these parts are framed.
     """
 
     start: bytes
@@ -151,12 +151,14 @@
 }
 
 
-async def write_spoilt(stream: SpoiltStream, writer: asyncio.StreamWriter, seconds: float) -> None:
-    """Write the parts of a spoilt stream for so many s, or until the connection ends."""
+async def write_spoilt(
+    stream: SpoiltStream, writer: asyncio.StreamWriter, seconds: float, has_ended: Callable[[], bool]
+) -> None:
+    """Write the parts of a spoilt stream for so many s, or until has_ended tells that the connection did."""
     loop = asyncio.get_running_loop()
     end = loop.time() + seconds
     for part in stream.parts():
-        if loop.time() >= end or writer.is_closing():
+        if loop.time() >= end or has_ended():
             return
         writer.write(part)
         await asyncio.sleep(stream.interval)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager, suppress
-from itertools import chain, repeat
+from itertools import chain, islice, repeat
 
 import pytest
 from test_link import HEAD, TOKEN, RecordedCallEvents
@@ -29,12 +29,12 @@
 @asynccontextmanager
 async def server_of(parts: Iterator[bytes]) -> AsyncIterator[int]:
     """Serve these parts, one each PART_INTERVAL, to each client; yield the port."""
-    all_parts = list(zip(parts, range(int(PLAY_SECONDS / PART_INTERVAL)), strict=False))
+    all_parts = list(islice(parts, int(PLAY_SECONDS / PART_INTERVAL)))
 
     async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(OSError, asyncio.IncompleteReadError):
             await reader.readuntil(b"\r\n\r\n")
-            for part, _ in all_parts:
+            for part in all_parts:
                 writer.write(part)
                 await asyncio.sleep(PART_INTERVAL)
         writer.close()
--- a/tests/test_platform_link.py
+++ b/tests/test_platform_link.py
@@ -82,6 +82,11 @@
             await asyncio.sleep(0.005)
 
 
+async def until_readable(connection: socket.socket) -> None:
+    """Wait until the peer has sent something or closed."""
+    await until(lambda: bool(select.select([connection], [], [], 0.0)[0]))
+
+
 def link_to(*endpoints: Endpoint) -> PlatformLink:
     return PlatformLink(
         connect_timeout=1.0,
@@ -109,7 +114,7 @@
         events = RecordingCallEvents(lambda: at_end(engine.connections[0]))
         call = send(link, engine, events, timeout=5.0 if how == "cancelled" else 0.2)
         connection = await engine.accepted()
-        await until(lambda: bool(select.select([connection], [], [], 0.0)[0]))
+        await until_readable(connection)
         assert connection.recv(65_536).endswith(b"{}")
         if how == "cancelled":
             call.cancel()
@@ -162,7 +167,7 @@
         events = RecordingCallEvents(lambda: None)
         send(link, engine, events)
         connection = await engine.accepted()
-        await until(lambda: bool(select.select([connection], [], [], 0.0)[0]))
+        await until_readable(connection)
         started_at = link.loop.time()
         connection.recv(65_536)
         connection.send(head)
@@ -183,7 +188,7 @@
             started_at = link.loop.time()
             link.release(engine.endpoint(), "a1", RecordingReleaseEvents())
             connection = await other.accepted()
-            await until(lambda: bool(select.select([connection], [], [], 0.0)[0]))
+            await until_readable(connection)
             assert connection.recv(65_536).startswith(b"DELETE /bootstrap/rooms/a1 ")
             assert link.loop.time() - started_at < 0.3
             connection.send(b"HTTP/1.1 204 No Content\r\n\r\n")
@@ -203,13 +208,13 @@
         link.release(engine.endpoint(), "a1", RecordingReleaseEvents())
         connection = await engine.accepted()
         send(link, engine, RecordingCallEvents(lambda: None))
-        await until(lambda: bool(select.select([connection], [], [], 0.0)[0]))
+        await until_readable(connection)
         assert connection.recv(65_536).startswith(b"DELETE")
         await asyncio.sleep(0.03)
         assert link.releases and not select.select([connection, engine.listener], [], [], 0.0)[0]
         connection.send(b"HTTP/1.1 204 No Content\r\n\r\n")
         other = await engine.accepted()  # the first connection is used again only after a delay
-        await until(lambda: bool(select.select([other], [], [], 0.0)[0]))
+        await until_readable(other)
         assert other.recv(65_536).startswith(b"POST")
 
     asyncio.run(scenario())
@@ -222,7 +227,7 @@
         events = RecordingCallEvents(lambda: None)
         call = send(link, engine, events)
         connection = await engine.accepted()
-        await until(lambda: bool(select.select([connection], [], [], 0.0)[0]))
+        await until_readable(connection)
         assert connection.recv(65_536).startswith(b"DELETE ")
         call.withdraw()
         assert events.outcomes == [(Outcome.UNSENT, None)]
@@ -242,7 +247,7 @@
         events = RecordingCallEvents(lambda: None)
         send(link, engine, events)
         connection = await engine.accepted()
-        await until(lambda: bool(select.select([connection], [], [], 0.0)[0]))
+        await until_readable(connection)
         connection.recv(65_536)
         connection.send(b"HTTP/1.1 503 Busy\r\nX-Rejected: 1\r\nConnection: close\r\n\r\nbusy")
         await asyncio.sleep(0.05)
@@ -261,7 +266,7 @@
         events = RecordingCallEvents(lambda: None)
         call = send(link, engine, events)
         connection = await engine.accepted()
-        await until(lambda: bool(select.select([connection], [], [], 0.0)[0]))
+        await until_readable(connection)
         call.withdraw()
         assert not events.outcomes and not at_end(connection)
 
@@ -282,7 +287,7 @@
         link.release(dead[0], "a1", RecordingReleaseEvents())
         connection = await engine.accepted()
         assert link.loop.time() - started_at < 0.2
-        await until(lambda: bool(select.select([connection], [], [], 0.0)[0]))
+        await until_readable(connection)
         connection.send(b"HTTP/1.1 204 No Content\r\n\r\n")
         await until(lambda: not link.releases)
         assert not link.failed_releases
--- a/tests/test_spoilt_streams.py
+++ b/tests/test_spoilt_streams.py
@@ -58,7 +58,7 @@
         stream = SPOILT_STREAMS[kind]
         writer.write(stream.head + stream.frame(TOKEN_EVENT) + stream.frame(TOKEN_EVENT))
         self.last_event_at[kind] = asyncio.get_running_loop().time()
-        await write_spoilt(stream, writer, PLAY_SECONDS)
+        await write_spoilt(stream, writer, PLAY_SECONDS, writer.is_closing)
 
     async def serve_slow(self, name: str, writer: asyncio.StreamWriter) -> None:
         await write_slowly(SLOW_STREAMS[kind_of(name)], writer)
